Idle connections, keys that kill servers, cold servers at size; moves only from silent servers

Removed: the least bad holder where all look bad, COPY_COST and MOVE_COST, the oldest part in the inputs (silent() covers it).

--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -1,16 +1,15 @@
 """Every decision of a root. Its types, events and actions stand in mothnotch/interface.py.
 
-The ordinary path is HEIMDALL's (EuroSys '25) as docs/design.md states it: a part goes to its hashed
-home unless a learned verdict calls the home slow and another holder not slow. All else (health, cold
-ramps, further attempts, when to answer, what to refuse) guards that path and says against what."""
+The ordinary path is HEIMDALL's (EuroSys '25, docs/design.md): a part goes to its hashed home unless
+a learned verdict calls it slow and another holder not. All else guards that path and says against what."""
 import math
 import random
 from collections import deque
 from statistics import median
 
 from mothnotch import interface as i
-from mothnotch.interface import News, Repeat, Result
-from mothnotch.state import Attempt, Bucket, Calls, Logistic, Part, Query, Running, Window, rendezvous
+from mothnotch import state
+from mothnotch.interface import NEVER_RAN, News, Repeat, Result
 
 DEPTH = 3                # answers in a server's history, as the paper found enough
 VERDICTS = 32            # k: verdicts a query may ask for; one for each server of a wide query
@@ -18,14 +17,14 @@
 SHORT_RUN = 3            # busy runs up to this long are noise
 DRIFT = 1.03             # step of the running medians: slow enough to keep calm values through a busy period
 CHECK_US, ENOUGH, ACCURATE = 5_000_000, 6, 0.8   # checks of accuracy; answers that count; bar to relearn
+UP, DOWN, FREE = (0.0, math.inf), (-math.inf, 0.0), (-math.inf, math.inf)
+BOUNDS = [UP] * 2 * DEPTH + [DOWN] * DEPTH + [FREE] * 2   # only latency and parts out speak for slow
 RATE, EPOCHS, KEPT = 0.3, 12, 400  # gradient step; passes of a relearning; labelled answers kept for it
 SILENT_AIMS = 3          # a server silent for so many aims gets its next part unjudged
 BLEND, FLEET_BLEND = 0.25, 0.02    # weight of a new answer in a server's and in the fleet's running means
 SUSPECT_FAILS = 0.35     # share of recent attempts failed that makes a server suspect
-SUSPECT_AGE = 3.0        # oldest part out for so many typical latencies, with nothing heard since: suspect
 PATIENCE = 2.5           # an attempt out for so many typical latencies is reviewed
 MORE_SHARE, MORE_BURST = 0.2, 20   # tokens for further attempts: so many a part taken, so many at once
-MOVE_COST, COPY_COST = 2, 4        # tokens to move or copy what might still be answered; a retry costs one
 RESERVE = 8              # tokens that moves and copies leave to retries: a lost part loses its whole query
 FADE_US, FAIL_COST = 2_000_000, 4  # what was seen of a server fades so fast; cost of failing, in latencies
 SHED_FROM = 0.5          # the least worthy work is refused once it would take this share of its time
@@ -34,6 +33,8 @@
 CUT, KEEP_LATE = 0.95, 0.2  # share of the usual length under which a try was cut; late worth that pays
 HOLD_US, PAUSE_US = 40_000, 300_000   # wait of a part that no holder has room for; and of a refused client
 ASK_US = (500_000, 8_000_000)      # first and longest wait before discovery is asked again
+IDLE_US = 1_000_000      # a connection unused for so long may be gone unseen
+DEATHS, KEYS, DISTRUST_US = 2, 256, 10_000_000   # servers lost under a key to distrust it; memory of keys
 NEAR = 1e-4              # weights may fall short by rounding
 
 
@@ -61,41 +62,29 @@
         worst = min((right / n for right, n in self.marks.values() if n >= ENOUGH), default=1.0)
         self.marks = {}
         if worst < ACCURATE:
-            self.unit = Logistic(self.kept, RATE, EPOCHS, self.rng)
+            self.unit = state.Logistic(self.kept, BOUNDS, RATE, EPOCHS, self.rng)
         return worst
 
 
-class Server:
-    """What this root knows of one server."""
+class Server(state.ServerRecord):
+    """What this root makes of what it knows of one server."""
 
-    def __init__(self, entry, fleet, rules, now):
-        self.id, self.fleet, self.started_us, self.cold_at = entry.server, fleet, 0, 0
-        self.out, self.work = {}, Window(rules.fall_us)    # attempts out, oldest first; work sent while cold
-        self.forget(now)
-
-    def forget(self, now):
-        """A new process: nothing seen of the old one holds."""
-        self.means, self.fails, self.run = Running(BLEND, DRIFT), 0.0, None    # run: busy period under way
-        self.history = deque(maxlen=DEPTH)       # (latency, own parts out at the send, throughput)
-        self.heard_us = self.sent_us = self.ended_us = now
-
-    def follow(self, entry, now, rules):
+    def follow(self, entry, now, rng):
         self.cell, self.up = entry.cell, entry.state == "up"
         self.weight = entry.weight if 0 < entry.weight < math.inf else 1.0
         if entry.started_us > self.started_us:
-            self.forget(now)
+            self.forget(state.Running(DRIFT), DEPTH, now)
             self.started_us, self.cold_at = entry.started_us, max(self.cold_at, entry.started_us)
+            self.sent_us, self.turn = 0, rng.random()
 
     def room(self, now, work, rules, roots):
-        """Guards against pushing over a server that just started, as the list tells: this root's share
-        of a work budget over the window, in what one core surely does at that age."""
-        age = max(0, now - self.cold_at)
-        if not self.cold_at or age >= rules.cold_us:
+        """Guards against pushing over a server that just started: this root's share of what one core surely
+        does at that age. A share under a part is saved up, from a drawn start, so that the sum holds."""
+        if not self.cold_at or now - self.cold_at >= rules.cold_us:
             return True
-        able = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_us
-        budget = min(COLD_LOAD, rules.fall_multiple) * able * rules.fall_us / roots
-        sent = self.work.total(now)
-        return not sent or sent + work <= budget
+        pace = min(COLD_LOAD, rules.fall_multiple) * rules.sure_capacity(now - self.cold_at) / roots
+        saved = (now - max(self.cold_at, self.sent_us)) * pace
+        return self.work.total(now) + work <= pace * rules.fall_us or saved >= self.turn * work
 
     def oldest(self, now):
         return now - next(iter(self.out.values())).sent_us if self.out else 0
@@ -108,19 +97,19 @@
         seen *= (1 + len(self.out)) / (1 + (self.means.ahead if self.means.latency else self.fleet.ahead))
         return max(seen, self.oldest(now)) * (1 + FAIL_COST * fresh * self.fails)
 
+    def silent(self, now):
+        """Whether it has answered nothing since a part that has been out for long was sent."""
+        age = self.oldest(now)
+        return age > PATIENCE * (self.fleet.middle_latency or math.inf) and self.heard_us <= now - age
+
     def suspect(self, now):
         """Guards against servers that fail fast, refuse, hang or vanish, before any label can tell."""
-        bar = SUSPECT_AGE * (self.fleet.middle_latency or math.inf)
-        return self.fails > SUSPECT_FAILS or (self.oldest(now) > bar and now - self.heard_us > bar)
+        return self.fails > SUSPECT_FAILS or self.silent(now)
 
-    def inputs(self, now, cost):
-        """Inputs of the unit. An unheard server counts as average. Against a stale history, a part
-        out for longer than the newest answer took stands in for it."""
+    def inputs(self, cost):
+        """Inputs of the unit. An unheard server counts as average."""
         average = (self.fleet.latency or 0.0, self.fleet.ahead, self.fleet.rate or 0.0)
         rows = [average] * (DEPTH - len(self.history)) + list(self.history)
-        age = self.oldest(now)
-        if age > rows[-1][0]:
-            rows = rows[1:] + [(age, len(self.out), cost / age)]
         return [row[n] for n in range(3) for row in rows] + [cost]
 
     def label(self, a):
@@ -142,12 +131,13 @@
     def ended(self, attempt, now, latency, failed):
         """Takes in an ended attempt; returns what became labelled."""
         attempt.latency, attempt.rate = max(1, latency), attempt.cost / max(1, latency)
-        self.fails += BLEND * (failed - self.fails)
+        blend = min(1.0, max(BLEND, (now - self.ended_us) / FADE_US))    # after a long gap one says more
+        self.fails += blend * (failed - self.fails)
         self.ended_us = now
         self.history.append((attempt.latency, attempt.ahead, attempt.rate))
         if not failed:
-            self.means.take(attempt)
-            self.fleet.take(attempt)
+            self.means.take(attempt, blend)
+            self.fleet.take(attempt, FLEET_BLEND)
         return self.label(attempt) if self.fleet.latency else []
 
 
@@ -156,32 +146,31 @@
 
     def __init__(self, settings, seed):
         self.s, self.rng = settings, random.Random(seed)
-        self.fleet, self.predictor = Running(FLEET_BLEND, DRIFT), Predictor(self.rng)
+        self.fleet, self.predictor = state.Running(DRIFT), Predictor(self.rng)
         self.servers, self.cells, self.queries, self.numbers, self.attempts = {}, {}, {}, {}, {}
-        self.due, self.wake_at, self.backoff = Calls(), None, None   # backoff None: not asked yet
+        self.due, self.backoff = state.Calls(), 0
         span = settings.rules.budget_window_us or 0
-        self.more, self.taken, self.further = Bucket(MORE_BURST), Window(span), Window(span)
-        rates = {tenant: rate / settings.roots for tenant, rate in settings.tenants.items()}
-        self.shares = {tenant: Bucket(BURST_S * rate, rate) for tenant, rate in rates.items()}
-        self.class_cost, self.usual, self.densities = {}, {}, deque(maxlen=64)
+        self.more, self.taken, self.further = state.Bucket(MORE_BURST), state.Window(span), state.Window(span)
+        self.shares = {tenant: state.Bucket(BURST_S * rate / settings.roots, rate / settings.roots)
+                       for tenant, rate in settings.tenants.items()}
+        self.class_cost, self.usual, self.densities = {}, {}, state.Ranks(64)
         self.aim_us = max(c.aim_us for c in settings.classes.values())
         self.on = {i.ListNews: self.on_list, i.QueryArrived: self.on_query, i.PartArrived: self.on_part,
                    i.AttemptEnded: self.on_ended, i.QueryGone: self.on_gone}
+        self.deaths = state.RecentSets(KEYS, DISTRUST_US)     # key -> servers lost under it
         self.due.put(0, self.check)
 
     def handle(self, now, events):
         self.now, self.actions, self.fresh = now, [], {}
-        self.wake_at = self.wake_at if (self.wake_at or 0) > now else None
         for event in events:
             if type(event) in self.on:
                 self.on[type(event)](event)
         self.due.run(now)
-        for query in self.fresh.values():              # after all events, so that sends share calls
-            self.begin(query)
-        at = self.due.next_at()
-        if self.wake_at is None or at < self.wake_at:
-            self.wake_at = at
-            self.act(i.Wake(0, at - now))
+        for query, parts in self.fresh.items():        # after all events, so that sends share calls
+            self.begin(query, parts)
+        delay = self.due.wake(now)
+        if delay is not None:
+            self.act(i.Wake(0, delay))
         return self.actions
 
     def act(self, *actions):
@@ -191,9 +180,6 @@
         self.due.put(self.now + delay, call, *args)
 
     def check(self):
-        if self.s.must_ask and self.backoff is None:
-            self.backoff = 0
-            self.act(i.Subscribe())
         self.later(CHECK_US, self.check)
         worst = self.predictor.check()
         if worst < ACCURATE:
@@ -202,22 +188,22 @@
     def on_list(self, event):
         if event.kind is News.FAILED:
             # Guards against asking a struggling discovery service in step: ask again, ever later.
-            self.backoff = min(ASK_US[1], max(ASK_US[0], 2 * (self.backoff or 0)))
+            self.backoff = min(ASK_US[1], max(ASK_US[0], 2 * self.backoff))
             self.later(self.backoff * self.rng.uniform(0.5, 1), self.act, i.Subscribe())
             return
-        self.backoff = self.backoff if event.kind is News.CACHED else 0
+        self.backoff = 0
+        if event.kind is News.CACHED and self.s.must_ask:
+            self.act(i.Subscribe())
         for entry in event.entries:
             if entry.server not in self.servers:
-                self.servers[entry.server] = Server(entry, self.fleet, self.s.rules, self.now)
-            self.servers[entry.server].follow(entry, self.now, self.s.rules)
+                self.servers[entry.server] = Server(
+                    entry.server, self.fleet, self.s.rules.fall_us, state.Running(DRIFT), DEPTH, self.now)
+            self.servers[entry.server].follow(entry, self.now, self.rng)
         if event.kind is not News.CHANGES:             # a whole list: what it does not name is gone
             listed = {entry.server for entry in event.entries}
             for server in self.servers.values():
                 server.up = server.up and server.id in listed
-        self.cells = {}
-        for server in self.servers.values():
-            if server.up:
-                self.cells.setdefault(server.cell, []).append(server)
+        self.cells = state.grouped((server.cell, server) for server in self.servers.values() if server.up)
 
     def holding(self, part):
         """Holders of the part's shard, in no order that means anything."""
@@ -226,20 +212,19 @@
 
     def holders(self, part):
         """Holders of the part's shard in hash order: home first."""
-        return rendezvous(f"{part.query.key}|{part.shard}",
-                          [(h.weight if self.s.weighted else 1.0, h.id, h) for h in self.holding(part)])
+        return state.rendezvous(f"{part.query.key}|{part.shard}",
+                                [(h.weight if self.s.weighted else 1.0, h.id, h) for h in self.holding(part)])
 
     def on_query(self, event):
         kind = self.s.classes[event.class_name]
-        query = self.queries[event.query] = self.numbers[event.number] = Query(event, kind)
+        query = self.queries[event.query] = self.numbers[event.number] = state.Query(event, kind)
         self.taken.add(self.now)
         # A try cut shorter than usual ends with the client's whole time, which tells when it first asked.
         left, last = event.drop_dead_us - self.now, event.drop_dead_us - 2 * self.s.tick_us
         usual = self.usual.get(kind.name, left)
         self.usual[kind.name] = usual * (DRIFT if left > usual else 1 / DRIFT)
         first = self.now if left > CUT * usual else event.drop_dead_us - kind.deadline_us
-        query.aim = min(last, int(first + min(kind.aim_us + kind.aim_stretch * (event.cost_us or 0),
-                                              kind.deadline_us) - 3 * self.s.tick_us))
+        query.aim = min(last, int(first + kind.aim_of(event.cost_us or 0) - 3 * self.s.tick_us))
         query.end = last if kind.late_worth > KEEP_LATE else query.aim
         self.due.put(query.aim, self.on_time, query)
         self.due.put(query.end, self.on_time, query)
@@ -253,17 +238,16 @@
         mean = self.class_cost.get(query.kind.name, self.aim_us / 10)
         cost = event.cost_us if event.cost_us and event.cost_us > 0 else mean
         self.class_cost[query.kind.name] = mean + 0.05 * (cost - mean)
-        query.parts.append(Part(event, query, cost))
-        query.fresh.append(query.parts[-1])
-        self.fresh[query.id] = query
+        query.parts.append(state.Part(event, query, cost))
+        self.fresh.setdefault(query, []).append(query.parts[-1])
 
     def on_gone(self, event):
         if event.query in self.queries:
             self.close(self.queries[event.query])
 
-    def begin(self, query):
-        fresh, query.fresh = query.fresh, []
-        if query.open and query.step == 1 and self.shed(query, fresh):
+    def begin(self, query, fresh):
+        distrusted = self.deaths.count(query.key, self.now) >= DEATHS
+        if query.open and query.step == 1 and (distrusted or self.shed(query, fresh)):
             self.end(query, PAUSE_US)
         for part in fresh:
             self.place(part)
@@ -276,19 +260,17 @@
         if query.tenant in self.shares and not self.shares[query.tenant].take(self.now):
             density *= self.s.over_share_worth
         late = query.aim <= self.now                   # asked again, and too late for its full worth
-        density *= kind.late_worth if late else 1
-        rank = sum(d < density for d in self.densities) / max(1, len(self.densities))
-        self.densities.append(density)
+        density *= kind.late_worth if late else 1.0
         left = (query.end if late else query.aim) - self.now
-        time = left * (SHED_FROM + (1 - SHED_FROM) * rank)
+        time = left * (SHED_FROM + (1 - SHED_FROM) * self.densities.rank(density))
         total = sum(p.weight for p in parts if any(h.expect(self.now) <= time for h in self.holding(p)))
-        return total < min(kind.floor, kind.whole_at) - NEAR
+        return total < kind.least - NEAR
 
     def slow(self, server, part):
         """The verdict on a server, one a query and server, at most VERDICTS a query."""
         verdicts = part.query.verdicts
         if server.id not in verdicts and len(verdicts) < VERDICTS:
-            judged = self.predictor.slow(server.inputs(self.now, part.cost))
+            judged = self.predictor.slow(server.inputs(part.cost))
             verdicts[server.id] = judged or server.suspect(self.now)
         return verdicts.get(server.id, False)
 
@@ -302,26 +284,29 @@
             self.lose(part)
         elif not ready:
             self.later(HOLD_US, self.place, part)
+        elif part.again in ready:
+            self.send(part, part.again, False)
         elif part.tried:
             ready = [h for h in ready if h not in part.tried] or ready
-            self.send(part, min(ready, key=lambda h: (h.suspect(self.now), h.expect(self.now))), False)
+            self.send(part, self.best(ready), False)
         else:
             home = target = ready[0]
             silent = self.now - max(home.heard_us, home.sent_us) > SILENT_AIMS * self.aim_us
             if not (silent and part.query.kind.repeat is not Repeat.UNSAFE) and self.slow(home, part):
                 others = [h for h in ready[1:] if not self.slow(h, part)]
-                least = min(ready, key=lambda h: h.expect(self.now)) if home.suspect(self.now) else home
-                target = others[0] if others else least      # where all look bad, the least bad
+                target = others[0] if others else home
             self.send(part, target, target is home)
 
     def send(self, part, server, admitted):
         if part.tried:
             self.further.add(self.now)
-        attempt = Attempt(part, server, self.now, admitted)
-        part.tried.append(server)
-        part.risks.append(self.now)
-        part.out[attempt.n] = server.out[part.id, attempt.n] = self.attempts[part.id, attempt.n] = attempt
-        server.sent_us = self.now
+        server.use(self.now)
+        # Guards against connections lost while idle: an unsafe part can't be sent twice, so on a new one.
+        if server.idle_us >= IDLE_US and part.query.kind.repeat is Repeat.UNSAFE:
+            self.act(i.Disconnect(server.id))
+            server.idle_us = 0
+        attempt = state.Attempt(part, server, self.now, admitted)
+        self.attempts[part.id, attempt.n] = attempt
         server.work.add(self.now, part.cost + self.s.call_work_us)
         patience = int(PATIENCE * max(self.fleet.middle_latency or self.aim_us / 4, part.cost))
         # Where nothing can be cancelled, a time-out is the only way to leave a stuck attempt.
@@ -329,32 +314,31 @@
         self.act(i.Send(part.id, server.id, max(self.s.tick_us, limit)))
         self.later(patience, self.review, attempt)
 
+    def best(self, servers):
+        """The one to try next, or None."""
+        return min(servers, key=lambda h: (h.suspect(self.now), h.expect(self.now)), default=None)
+
     def may_repeat(self, part):
         """Whether the rules let this part have one more attempt now."""
-        kind, most, rules = part.query.kind, self.s.limits.max_attempts, self.s.rules
-        dropped = min(part.risks, default=0) + (kind.repeat_window_us or 0) - self.s.tick_us
-        last = {Repeat.SAFE: math.inf, Repeat.KEYED: dropped, Repeat.UNSAFE: 0}[kind.repeat]
-        if most is not None and len(part.tried) >= most or part.risks and self.now > last:
-            return False
-        allowed = rules.budget_free + (rules.budget_share or 0) * self.taken.total(self.now)
-        return rules.budget_share is None or self.further.total(self.now) + 1 <= allowed
+        allowed = self.s.rules.further_allowed(self.taken.total(self.now))
+        return ((self.s.limits.max_attempts is None or len(part.tried) < self.s.limits.max_attempts)
+                and (not part.risks or self.now <= part.query.kind.repeat_until(part.risks) - self.s.tick_us)
+                and self.further.total(self.now) + 1 <= allowed)
 
     def review(self, attempt):
-        """Guards against an attempt stuck at a stalled, hung or slow server: move it, or copy it where
-        allowed, if another holder is expected to answer in the time left. The tokens, shared with
-        retries, guard against storms of attempts when all servers are slow or full."""
+        """Guards against an attempt stuck at a silent server: move it, or copy where allowed. A busy server
+        keeps its parts. The tokens, shared with retries, guard against storms when all servers are slow."""
         part = attempt.part
-        if attempt.n not in part.out or part.done or not part.query.open or len(part.out) > 1:
+        if attempt.n not in part.out or not part.query.open or len(part.out) > 1:
             return
-        others = [h for h in self.holders(part) if h not in part.tried and not h.suspect(self.now)
-                  and h.room(self.now, part.cost, self.s.rules, self.s.roots)]
-        cost = COPY_COST if self.s.limits.second_copies else MOVE_COST
-        best = min(others, key=lambda h: h.expect(self.now), default=None)
-        left = (part.query.aim if self.now < part.query.aim else part.query.end) - self.now
-        if not (best and best.expect(self.now) < min(left, self.now - attempt.sent_us)
-                and self.may_repeat(part) and self.more.take(self.now, cost, RESERVE)):
+        best = self.best([h for h in self.holders(part) if h not in part.tried and not h.suspect(self.now)
+                          and h.room(self.now, part.cost, self.s.rules, self.s.roots)])
+        if not (best and attempt.server.silent(self.now) and self.may_repeat(part)
+                and best.expect(self.now) < self.now - attempt.sent_us
+                and self.more.take(self.now, 1, RESERVE)):
             self.later(max(self.s.tick_us, self.fleet.middle_latency or 0), self.review, attempt)
-        elif self.s.limits.second_copies:
+            return
+        if self.s.limits.second_copies:
             self.send(part, best, False)
         elif self.s.limits.cancel:
             self.act(i.Cancel(part.id, attempt.n))
@@ -363,26 +347,49 @@
         attempt = self.attempts.pop((event.part, event.attempt), None)
         if attempt is None:
             return
-        part, query = attempt.part, attempt.part.query
-        del attempt.server.out[event.part, event.attempt]
-        part.out.pop(attempt.n, None)
-        if event.result in i.NEVER_RAN:
-            part.risks.remove(attempt.sent_us)
-        if event.result is not Result.UNSENT:
-            self.take(attempt, event.result, event.latency_us)
+        part, query, server, result = attempt.part, attempt.part.query, attempt.server, event.result
+        attempt.close(result in NEVER_RAN)
+        stale = result is Result.BROKEN and attempt.idle_us >= IDLE_US // 2
+        died = result is Result.BROKEN and not stale or result is Result.UNREACHABLE and part.again is server
+        part.again = server if stale else None
+        if not stale and result is not Result.UNSENT:    # one lost while idle says little of the server
+            self.take(attempt, result, event.latency_us)
+        if died:
+            self.deaths.add(query.key, server.id, self.now)
         if part.done or part.lost or not query.open:
             return
-        if event.result is Result.OK:
+        if result is Result.OK:
             part.done = True
             query.got += part.weight
+            self.deaths.drop(query.key)
             self.cancel(part)
             self.settle(query)
-        elif not part.out and self.may_repeat(part) and self.more.take(self.now):
+            self.release(query)
+        elif died and not part.out and not query.got:
+            part.held = True
+            self.release(query)
+        elif not part.out:
+            self.retry(part, free=stale)
+
+    def retry(self, part, free=False):
+        if self.may_repeat(part) and (free or self.more.take(self.now)):
             untried = any(h not in part.tried for h in self.holding(part))
             self.later(0 if untried else HOLD_US, self.place, part)
-        elif not part.out:
+        else:
             self.lose(part)
 
+    def release(self, query):
+        """Guards against queries that bring down the servers that begin them: a part whose server died
+        waits until another part of its query has come, which clears the key, or all have lost theirs."""
+        distrusted = self.deaths.count(query.key, self.now) >= DEATHS
+        if query.got or not any(part.out for part in query.parts):
+            for part in [part for part in query.parts if part.held]:
+                part.held = False
+                if query.open and distrusted:
+                    self.lose(part)
+                elif query.open:
+                    self.retry(part)
+
     def take(self, attempt, result, latency):
         """What an outcome tells of its server. A failure counts as an answer as slow as the aim, so that
         quick errors do not look fast; a cancelled attempt as one that took what it had."""
@@ -401,7 +408,7 @@
             self.answer(query, query.first_whole)
         elif over and query.got >= kind.floor - NEAR:
             self.answer(query, False)
-        elif over or 1 - query.lost < min(kind.floor, kind.whole_at) - NEAR:
+        elif over or 1 - query.lost < kind.least - NEAR:
             self.end(query, PAUSE_US)
 
     def lose(self, part):
@@ -420,10 +427,8 @@
     def answer(self, query, whole):
         self.act(i.Answer(query.id, whole))
         if query.step == 1 and query.kind.second_step:
-            for part in query.parts:
-                part.lost = not part.done
+            for part in query.next_step(whole):
                 self.cancel(part)
-            query.step, query.first_whole, query.parts, query.got, query.lost = 2, whole, [], 0.0, 0.0
         else:
             self.close(query)
 
--- a/mothnotch/interface.py
+++ b/mothnotch/interface.py
@@ -8,6 +8,7 @@
     balancer = Balancer(settings, seed)
     actions = balancer.handle(now_us, events)
 """
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -59,6 +60,21 @@
     partial_worth: float           # share of the worth paid for an answer that is not whole
     second_step: int               # parts of a second step; 0: there is none
 
+    @property
+    def least(self):
+        """The least weight with which any answer may be given."""
+        return min(self.floor, self.whole_at)
+
+    def repeat_until(self, sends_us):
+        """When the rules let a part go again last, given the sends that may have run."""
+        if self.repeat is Repeat.KEYED:
+            return min(sends_us) + (self.repeat_window_us or 0)
+        return math.inf if self.repeat is Repeat.SAFE else 0
+
+    def aim_of(self, cost_us):
+        """The aim of a query with so much work."""
+        return min(self.aim_us + self.aim_stretch * cost_us, self.deadline_us)
+
 
 @dataclass(slots=True, frozen=True)
 class Limits:
@@ -83,6 +99,14 @@
     budget_free: int               # and so many on top
     budget_window_us: int | None
 
+    def sure_capacity(self, age_us):
+        """The share of its capacity that a server surely has at that age."""
+        return self.cold_from + (1 - self.cold_from) * min(1.0, max(0.0, age_us / self.cold_us))
+
+    def further_allowed(self, taken):
+        """How many further attempts the rules allow for so many queries and parts taken."""
+        return math.inf if self.budget_share is None else self.budget_free + self.budget_share * taken
+
 
 @dataclass(slots=True, frozen=True)
 class Settings:
@@ -221,6 +245,16 @@
     server: str
 
 
+@dataclass(slots=True, frozen=True)
+class Disconnect:
+    server: str                    # close idle connections to it; the next send opens a new one
+
+
+@dataclass(slots=True, frozen=True)
+class TellPeers:
+    body: bytes                    # to every other root; at most 256 bytes, may be lost
+
+
 @dataclass(slots=True, frozen=True)
 class Subscribe:
     pass
--- a/mothnotch/state.py
+++ b/mothnotch/state.py
@@ -13,9 +13,40 @@
 
     def __init__(self, part, server, now, admitted):
         self.part, self.n, self.server = part, len(part.tried), server
-        self.sent_us, self.admitted = now, admitted
-        self.cost, self.ahead, self.inputs = part.cost, len(server.out), server.inputs(now, part.cost)
+        self.sent_us, self.admitted, self.idle_us = now, admitted, server.idle_us
+        self.cost, self.ahead, self.inputs = part.cost, len(server.out), server.inputs(part.cost)
         self.latency = self.rate = None          # known once it has ended
+        part.tried.append(server)
+        part.risks.append(now)
+        part.out[self.n] = server.out[part.id, self.n] = self
+
+    def close(self, never_ran):
+        del self.server.out[self.part.id, self.n]
+        self.part.out.pop(self.n, None)
+        if never_ran:
+            self.part.risks.remove(self.sent_us)
+
+
+class ServerRecord:
+    """What a root has seen of one server."""
+
+    def __init__(self, server, fleet, span, means, depth, now):
+        self.id, self.fleet, self.started_us, self.cold_at, self.turn = server, fleet, 0, 0, 0.0
+        self.out, self.work = {}, Window(span)   # attempts out, oldest first; work sent lately
+        self.forget(means, depth, now)
+
+    def forget(self, means, depth, now):
+        """A new process: nothing seen of the old one holds."""
+        self.means, self.fails, self.run = means, 0.0, None    # run: busy period under way
+        self.history = deque(maxlen=depth)       # (latency, own parts out at the send, throughput)
+        self.heard_us = self.sent_us = self.ended_us = now
+        self.idle_us = 0                         # how long its connections had been unused at the last send
+
+    def use(self, now):
+        """Something is sent now: all of one turn finds the connections as the first does."""
+        if self.sent_us < now:
+            self.idle_us = 0 if self.out else now - max(self.sent_us, self.ended_us)
+        self.sent_us, self.turn = now, 1.0
 
 
 class Part:
@@ -25,6 +56,8 @@
         self.id, self.shard, self.weight = event.part, event.shard, event.weight
         self.query, self.cost = query, cost
         self.tried, self.out = [], {}            # servers, one an attempt; attempts out, by number
+        self.again = None                        # server whose idle connection broke under it
+        self.held = False                        # waits for word on its query's key
         self.risks = []                          # send times of the attempts that may have run
         self.done = self.lost = False
 
@@ -35,24 +68,32 @@
     def __init__(self, event, kind):
         self.id, self.kind, self.key, self.number = event.query, kind, event.key or event.query, event.number
         self.tenant, self.verdicts = event.tenant, {}
-        self.parts, self.fresh = [], []          # all of this step; those not placed yet
+        self.parts = []                          # all of this step
         self.got, self.lost, self.step, self.first_whole, self.open = 0.0, 0.0, 1, True, True
 
+    def next_step(self, whole):
+        """Begins the second step; gives the parts of the first, of which no more is wanted."""
+        parts, self.parts = self.parts, []
+        for part in parts:
+            part.lost = not part.done
+        self.step, self.first_whole, self.got, self.lost = 2, whole, 0.0, 0.0
+        return parts
+
 
 class Running:
     """Running means and medians of answers: latency, throughput, parts ahead."""
 
-    def __init__(self, blend, drift):
-        self.blend, self.drift, self.ahead = blend, drift, 0.0
+    def __init__(self, drift):
+        self.drift, self.ahead = drift, 0.0
         self.latency = self.rate = self.middle_latency = self.middle_rate = None
 
-    def take(self, attempt):
+    def take(self, attempt, blend):
         if self.latency is None:
             self.latency = self.middle_latency = float(attempt.latency)
             self.rate = self.middle_rate = attempt.rate
-        self.latency += self.blend * (attempt.latency - self.latency)
-        self.rate += self.blend * (attempt.rate - self.rate)
-        self.ahead += self.blend * (attempt.ahead - self.ahead)
+        self.latency += blend * (attempt.latency - self.latency)
+        self.rate += blend * (attempt.rate - self.rate)
+        self.ahead += blend * (attempt.ahead - self.ahead)
         self.middle_latency *= self.drift if attempt.latency > self.middle_latency else 1 / self.drift
         self.middle_rate *= self.drift if attempt.rate > self.middle_rate else 1 / self.drift
 
@@ -60,9 +101,11 @@
 class Logistic:
     """One logistic unit on min-max scaled inputs; the scale is that of the samples it is made for."""
 
-    def __init__(self, samples, rate, epochs, rng):
-        """Made from [(inputs, label)] by gradient steps, so many passes over them in a drawn order."""
-        self.rate, columns = rate, list(zip(*(inputs for inputs, _ in samples), strict=True))
+    def __init__(self, samples, bounds, rate, epochs, rng):
+        """Made from [(inputs, label)] by gradient steps, so many passes over them in a drawn order; each
+        weight stays within its bounds (least, most)."""
+        self.bounds, self.rate = bounds, rate
+        columns = list(zip(*(inputs for inputs, _ in samples), strict=True))
         self.spans = [(min(column), max(column)) for column in columns]
         self.weights = [0.0] * (len(columns) + 1)
         samples = list(samples)
@@ -85,7 +128,8 @@
     def step(self, inputs, label):
         scaled = self.scaled(inputs)
         error = self.rate * (label - self.output(scaled))
-        self.weights = [w + error * x for w, x in zip(self.weights, scaled, strict=True)]
+        self.weights = [min(most, max(least, w + error * x))
+                        for w, x, (least, most) in zip(self.weights, scaled, self.bounds, strict=True)]
 
 
 class Window:
@@ -122,18 +166,57 @@
         return taken
 
 
+class Ranks:
+    """Ranks each value among so many before it: the share of them that are less."""
+
+    def __init__(self, size):
+        self.values = deque(maxlen=size)
+
+    def rank(self, value):
+        rank = sum(v < value for v in self.values) / max(1, len(self.values))
+        self.values.append(value)
+        return rank
+
+
+class RecentSets:
+    """Sets by key, at most so many, each forgotten a span of time after it was last added to."""
+
+    def __init__(self, size, span):
+        self.size, self.span, self.sets = size, span, {}
+
+    def add(self, key, member, now):
+        members = self.sets[key][0] if self.count(key, now) else set()
+        self.drop(key)
+        self.sets[key] = members | {member}, now
+        if len(self.sets) > self.size:
+            del self.sets[next(iter(self.sets))]
+
+    def count(self, key, now):
+        members, at = self.sets.get(key, ((), now))
+        return len(members) if now - at < self.span else 0
+
+    def drop(self, key):
+        self.sets.pop(key, None)
+
+
 class Calls:
     """Calls to make later, in order of time; those of one time in the order they were put."""
 
     def __init__(self):
-        self.heap, self.count = [], 0
+        self.heap, self.count, self.wake_at = [], 0, None
 
     def put(self, at, call, *args):
         self.count += 1
         heapq.heappush(self.heap, (int(at), self.count, call, args))
 
-    def next_at(self):
-        return self.heap[0][0] if self.heap else None
+    def wake(self, now):
+        """The delay to the next call, if no wake-up asked for earlier comes in time for it; else None."""
+        if self.wake_at is not None and self.wake_at <= now:
+            self.wake_at = None
+        if not self.heap or self.wake_at is not None and self.wake_at <= self.heap[0][0]:
+            return None
+        self.wake_at = self.heap[0][0]
+        return self.wake_at - now
 
     def run(self, now):
         while self.heap and self.heap[0][0] <= now:
@@ -141,6 +224,14 @@
             call(*args)
 
 
+def grouped(pairs):
+    """{key: [members]} of (key, member) pairs, in their order."""
+    groups = {}
+    for key, member in pairs:
+        groups.setdefault(key, []).append(member)
+    return groups
+
+
 def rendezvous(name, weighted):
     """Members of [(weight, id, member)] by weighted rendezvous hash of the name with each id, best first.
     The same everywhere: it depends on no process, seed or order."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -252,3 +252,96 @@
                 root.end(part, i.Result.ERROR if n % 7 == 0 else i.Result.OK, attempt)
         return root.said
     assert day() == day()
+
+
+def learn(root, times=12):
+    """Lets the root hear of its servers."""
+    for _ in range(times):
+        query, _ = root.ask()
+        root.now += 50 * MS
+        root.end(f"{query}.0")
+
+
+def test_a_connection_lost_while_idle_costs_one_more_try_at_the_same_server_and_no_blame():
+    root = Root()
+    learn(root)
+    root.run(5 * S)
+    query, actions = root.ask(key="a")
+    home = of(i.Send, actions)[0].server
+    again = of(i.Send, root.end(f"{query}.0", i.Result.BROKEN, latency=1 * MS))
+    assert [a.server for a in again] == [home]
+    root.end(f"{query}.0")
+    assert of(i.Send, root.ask(key="a")[1])[0].server == home       # still trusted
+
+
+def test_a_connection_in_use_that_breaks_sends_the_part_elsewhere():
+    root = Root()
+    learn(root)
+    for _ in range(2):                       # the second finds the connection in use
+        query, actions = root.ask(key="a")
+        root.now += 5 * MS
+    home = of(i.Send, actions)[0].server
+    root.end(f"{query}.0", i.Result.BROKEN, latency=1 * MS)
+    assert root.out[f"{query}.0", 1] != home
+
+
+def test_an_unsafe_part_gets_a_new_connection_where_the_old_one_was_idle():
+    root = Root(query_class(repeat=i.Repeat.UNSAFE))
+    learn(root)
+    root.run(5 * S)
+    query, actions = root.ask(key="a")
+    home = of(i.Send, actions)[0].server
+    assert [type(a) for a in actions[:2]] == [i.Disconnect, i.Send] and actions[0].server == home
+    assert not of(i.Disconnect, root.ask(key="a")[1])               # now it is in use
+
+
+def break_all(root, query, shards):
+    return [a for n in range(shards) for a in root.end(f"{query}.{n}", i.Result.BROKEN, latency=20 * MS)]
+
+
+def test_a_query_under_which_all_servers_die_is_no_longer_tried_and_its_key_refused_for_a_while():
+    cells = [entry(f"s{n}", cell=n % 4) for n in range(8)]
+    root = Root(servers=cells, cells=4)
+    learn(root)
+    for key in ("good1", "good2", "good3", "bad"):       # the connections are in use when it comes
+        query, _ = root.ask(shards=(0, 1, 2, 3), key=key)
+        root.now += 5 * MS
+    said = break_all(root, query, 4)
+    assert not of(i.Send, said) and of(i.Refuse, said)[0].query == query
+    assert of(i.Refuse, root.ask(shards=(0, 1, 2, 3), key="bad")[1])
+    assert not of(i.Refuse, root.ask(shards=(0, 1, 2, 3), key="other")[1])
+    for part, n in list(root.out):
+        root.end(part, attempt=n)
+    root.run(11 * S)
+    assert of(i.Send, root.ask(shards=(0, 1, 2, 3), key="bad")[1])  # a false suspicion ends by itself
+
+
+def test_a_bystander_of_a_dying_server_is_tried_again_once_a_sibling_has_come():
+    root = Root(servers=[entry(f"s{n}", cell=n % 4) for n in range(8)], cells=4)
+    learn(root)
+    for _ in range(2):
+        query, _ = root.ask(shards=(0, 1, 2, 3), key="good")
+        root.now += 5 * MS
+    for n in (0, 1):
+        assert not of(i.Send, root.end(f"{query}.{n}", i.Result.BROKEN, latency=20 * MS))
+    root.end(f"{query}.2")
+    root.run(50 * MS)
+    assert (f"{query}.0", 1) in root.out and (f"{query}.1", 1) in root.out
+    root.end(f"{query}.3")
+    assert of(i.Answer, root.end(f"{query}.0") + root.end(f"{query}.1"))
+    assert not of(i.Refuse, root.ask(shards=(0, 1), key="good")[1])
+
+
+def test_many_roots_together_keep_the_budget_of_a_cold_server():
+    """Eighty roots, each of which sends it next to nothing."""
+    roots = [Root(servers=("s1",), seed=n, roots=80) for n in range(80)]
+    start = roots[0].now
+    for root in roots:
+        root.news(i.News.CHANGES, entry("s1", started_us=start))
+    sent = 0
+    for step in range(30):                   # the first 3 s; every root asks once a second
+        for n, root in enumerate(roots):
+            if n % 10 == step % 10:
+                sent += len(of(i.Send, root.ask(cost=50 * MS)[1]))
+            sent += len(of(i.Send, root.run(100 * MS)))
+    assert 1 <= sent * 50 * MS <= 1.5 * 3 * S * 0.5    # COLD_LOAD of what one core surely does by then
