--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -9,7 +9,7 @@
 
 from mothnotch import interface as i
 from mothnotch import state
-from mothnotch.interface import NEVER_RAN, News, Repeat, Result
+from mothnotch.interface import News, Repeat, Result
 
 DEPTH = 3                # answers in a server's history, as the paper found enough
 VERDICTS = 32            # k: verdicts a query may ask for; one for each server of a wide query
@@ -45,9 +45,6 @@
         self.rng, self.unit = rng, None                    # no unit before the first relearning: all fast
         self.kept, self.marks = deque(maxlen=KEPT), {}     # (inputs, label); server -> [right, labelled]
 
-    def slow(self, inputs):
-        return self.unit is not None and self.unit.chance(inputs) > 0.5
-
     def learn(self, attempt, label):
         self.kept.append((attempt.inputs, label))
         if attempt.admitted:
@@ -106,10 +103,14 @@
         """Guards against servers that fail fast, refuse, hang or vanish, before any label can tell."""
         return self.fails > SUSPECT_FAILS or self.silent(now)
 
-    def inputs(self, cost):
-        """Inputs of the unit. An unheard server counts as average."""
+    def inputs(self, now, cost):
+        """Inputs of the unit. An unheard server counts as average. Against a stale history, a part
+        out for longer than the newest answer took stands in for it."""
         average = (self.fleet.latency or 0.0, self.fleet.ahead, self.fleet.rate or 0.0)
         rows = [average] * (DEPTH - len(self.history)) + list(self.history)
+        age = self.oldest(now)
+        if age > rows[-1][0]:
+            rows = rows[1:] + [(age, len(self.out), cost / age)]
         return [row[n] for n in range(3) for row in rows] + [cost]
 
     def label(self, a):
@@ -270,8 +271,8 @@
         """The verdict on a server, one a query and server, at most VERDICTS a query."""
         verdicts = part.query.verdicts
         if server.id not in verdicts and len(verdicts) < VERDICTS:
-            judged = self.predictor.slow(server.inputs(part.cost))
-            verdicts[server.id] = judged or server.suspect(self.now)
+            unit, inputs = self.predictor.unit, server.inputs(self.now, part.cost)
+            verdicts[server.id] = server.suspect(self.now) or unit is not None and unit.chance(inputs) > 0.5
         return verdicts.get(server.id, False)
 
     def place(self, part):
@@ -348,7 +349,7 @@
         if attempt is None:
             return
         part, query, server, result = attempt.part, attempt.part.query, attempt.server, event.result
-        attempt.close(result in NEVER_RAN)
+        attempt.close(result, self.now)
         stale = result is Result.BROKEN and attempt.idle_us >= IDLE_US // 2
         died = result is Result.BROKEN and not stale or result is Result.UNREACHABLE and part.again is server
         part.again = server if stale else None
@@ -394,8 +395,6 @@
         """What an outcome tells of its server. A failure counts as an answer as slow as the aim, so that
         quick errors do not look fast; a cancelled attempt as one that took what it had."""
         server = attempt.server
-        if result in (Result.OK, Result.ERROR, Result.REJECTED):
-            server.heard_us = self.now
         failed = result not in (Result.OK, Result.CANCELLED)
         latency = max(latency, failed * attempt.part.query.kind.aim_us)
         for labelled, label in server.ended(attempt, self.now, latency, failed):
--- a/mothnotch/interface.py
+++ b/mothnotch/interface.py
@@ -33,6 +33,7 @@
 
 
 NEVER_RAN = frozenset((Result.REJECTED, Result.UNREACHABLE, Result.UNSENT))
+ANSWERED = frozenset((Result.OK, Result.ERROR, Result.REJECTED))    # the server itself said something
 
 
 class News(Enum):
--- a/mothnotch/state.py
+++ b/mothnotch/state.py
@@ -7,6 +7,8 @@
 from collections import deque
 from hashlib import blake2b
 
+from mothnotch.interface import ANSWERED, NEVER_RAN
+
 
 class Attempt:
     """One send of a part, with what was known of the server then."""
@@ -14,17 +16,20 @@
     def __init__(self, part, server, now, admitted):
         self.part, self.n, self.server = part, len(part.tried), server
         self.sent_us, self.admitted, self.idle_us = now, admitted, server.idle_us
-        self.cost, self.ahead, self.inputs = part.cost, len(server.out), server.inputs(part.cost)
+        self.cost, self.ahead, self.inputs = part.cost, len(server.out), server.inputs(now, part.cost)
         self.latency = self.rate = None          # known once it has ended
         part.tried.append(server)
         part.risks.append(now)
         part.out[self.n] = server.out[part.id, self.n] = self
 
-    def close(self, never_ran):
+    def close(self, result, now):
+        """It has ended so: not out any more, and what that says of its having run and of who is alive."""
         del self.server.out[self.part.id, self.n]
         self.part.out.pop(self.n, None)
-        if never_ran:
+        if result in NEVER_RAN:
             self.part.risks.remove(self.sent_us)
+        if result in ANSWERED:
+            self.server.heard_us = now
 
 
 class ServerRecord:
