--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -92,7 +92,9 @@
         fresh, average = max(0.0, 1 - (now - self.ended_us) / FADE_US), self.fleet.latency or 0
         seen = average + fresh * ((self.means.latency or average) - average)
         seen *= (1 + len(self.out)) / (1 + (self.means.ahead if self.means.latency else self.fleet.ahead))
-        return max(seen, self.oldest(now)) * (1 + FAIL_COST * fresh * self.fails)
+        failing = self.fleet.fails * max(0.0, 1 - (now - self.fleet.ended_us) / FADE_US)
+        failing += fresh * (self.fails - failing)
+        return max(seen, self.oldest(now)) * (1 + FAIL_COST * failing)
 
     def silent(self, now):
         """Whether it has answered nothing since a part that has been out for long was sent."""
@@ -129,16 +131,21 @@
         latency, rate = median(b.latency for b in self.run), median(b.rate for b in self.run)
         return [(b, 1) for b in labelled if not (b.latency < latency and b.rate > rate)]
 
-    def ended(self, attempt, now, latency, failed):
-        """Takes in an ended attempt; returns what became labelled."""
-        attempt.latency, attempt.rate = max(1, latency), attempt.cost / max(1, latency)
+    def ended(self, attempt, now, result, latency):
+        """Takes in an ended attempt; returns what became labelled. A failure counts as an answer as slow as
+        the aim, so that quick errors do not look fast; a cancelled attempt as one that took what it had."""
+        failed = result not in (Result.OK, Result.CANCELLED)
+        attempt.latency = max(1, latency, failed * attempt.part.query.kind.aim_us)
+        attempt.rate = attempt.cost / attempt.latency
         blend = min(1.0, max(BLEND, (now - self.ended_us) / FADE_US))    # after a long gap one says more
         self.fails += blend * (failed - self.fails)
-        self.ended_us = now
+        fleet_blend = min(BLEND, max(FLEET_BLEND, (now - self.fleet.ended_us) / FADE_US))
+        self.fleet.fails += fleet_blend * (failed - self.fleet.fails)
+        self.ended_us = self.fleet.ended_us = now
         self.history.append((attempt.latency, attempt.ahead, attempt.rate))
         if not failed:
             self.means.take(attempt, blend)
-            self.fleet.take(attempt, FLEET_BLEND)
+            self.fleet.take(attempt, fleet_blend)
         return self.label(attempt) if self.fleet.latency else []
 
 
@@ -227,8 +234,8 @@
         first = self.now if left > CUT * usual else event.drop_dead_us - kind.deadline_us
         query.aim = min(last, int(first + kind.aim_of(event.cost_us or 0) - 3 * self.s.tick_us))
         query.end = last if kind.late_worth > KEEP_LATE else query.aim
-        self.due.put(query.aim, self.on_time, query)
-        self.due.put(query.end, self.on_time, query)
+        self.due.put(query.aim, self.settle, query)
+        self.due.put(query.end, self.settle, query)
 
     def on_part(self, event):
         query = self.numbers.get(event.number)
@@ -247,15 +254,20 @@
             self.close(self.queries[event.query])
 
     def begin(self, query, fresh):
+        """Refuses a query that would come too late; asks no part that would, where others may do."""
+        late = self.late(query, fresh) if query.open and query.step == 1 else []
         distrusted = self.deaths.count(query.key, self.now) >= DEATHS
-        if query.open and query.step == 1 and (distrusted or self.shed(query, fresh)):
-            self.end(query, PAUSE_US)
+        if query.open and (distrusted or 1 - sum(p.weight for p in late) < query.kind.least - NEAR):
+            self.end(query)
         for part in fresh:
-            self.place(part)
-
-    def shed(self, query, parts):
-        """Guards against overload and dead shards: refuse at once what would come too late, the work
-        of least worth first. Harm: with stale latencies it refuses work that would have been in time."""
+            if part in late and query.kind.floor < query.kind.whole_at:
+                self.lose(part)
+            else:
+                self.place(part)
+
+    def late(self, query, parts):
+        """Guards against overload and dead shards: the parts that would come too late, more of them the less
+        the work is worth. Harm: with stale latencies it leaves out work that would have been in time."""
         kind = query.kind
         density = kind.worth / (len(parts) * (self.class_cost[kind.name] + self.s.call_work_us))
         if query.tenant in self.shares and not self.shares[query.tenant].take(self.now):
@@ -264,8 +276,7 @@
         density *= kind.late_worth if late else 1.0
         left = (query.end if late else query.aim) - self.now
         time = left * (SHED_FROM + (1 - SHED_FROM) * self.densities.rank(density))
-        total = sum(p.weight for p in parts if any(h.expect(self.now) <= time for h in self.holding(p)))
-        return total < kind.least - NEAR
+        return [p for p in parts if all(h.expect(self.now) > time for h in self.holding(p))]
 
     def slow(self, server, part):
         """The verdict on a server, one a query and server, at most VERDICTS a query."""
@@ -316,7 +327,6 @@
         self.later(patience, self.review, attempt)
 
     def best(self, servers):
-        """The one to try next, or None."""
         return min(servers, key=lambda h: (h.suspect(self.now), h.expect(self.now)), default=None)
 
     def may_repeat(self, part):
@@ -354,7 +364,8 @@
         died = result is Result.BROKEN and not stale or result is Result.UNREACHABLE and part.again is server
         part.again = server if stale else None
         if not stale and result is not Result.UNSENT:    # one lost while idle says little of the server
-            self.take(attempt, result, event.latency_us)
+            for labelled, label in server.ended(attempt, self.now, result, event.latency_us):
+                self.predictor.learn(labelled, label)
         if died:
             self.deaths.add(query.key, server.id, self.now)
         if part.done or part.lost or not query.open:
@@ -386,43 +397,29 @@
         if query.got or not any(part.out for part in query.parts):
             for part in [part for part in query.parts if part.held]:
                 part.held = False
-                if query.open and distrusted:
+                if distrusted:
                     self.lose(part)
-                elif query.open:
+                else:
                     self.retry(part)
 
-    def take(self, attempt, result, latency):
-        """What an outcome tells of its server. A failure counts as an answer as slow as the aim, so that
-        quick errors do not look fast; a cancelled attempt as one that took what it had."""
-        server = attempt.server
-        failed = result not in (Result.OK, Result.CANCELLED)
-        latency = max(latency, failed * attempt.part.query.kind.aim_us)
-        for labelled, label in server.ended(attempt, self.now, latency, failed):
-            self.predictor.learn(labelled, label)
-
     def settle(self, query):
-        """Answers once the parts in make a whole answer, or no more can come; ends what cannot."""
+        """Answers once the parts in make a whole answer or, from the aim on or if no more can come, one that
+        may be given: it is worth more then than a whole one later. Ends what cannot be answered any more."""
+        if not query.open:
+            return
         kind, over = query.kind, all(part.done or part.lost for part in query.parts)
         if query.got >= kind.whole_at - NEAR if query.step == 1 else over and not query.lost:
             self.answer(query, query.first_whole)
-        elif over and query.got >= kind.floor - NEAR:
+        elif (over or self.now >= query.aim) and query.got >= kind.floor - NEAR:
             self.answer(query, False)
-        elif over or 1 - query.lost < kind.least - NEAR:
-            self.end(query, PAUSE_US)
+        elif over or self.now >= query.end or 1 - query.lost < kind.least - NEAR:
+            self.end(query)
 
     def lose(self, part):
         part.lost = True
         part.query.lost += part.weight
         self.settle(part.query)
 
-    def on_time(self, query):
-        """At the aim an answer that may be given is worth more now than a whole one later."""
-        kind = query.kind
-        if query.open and kind.floor < kind.whole_at and query.got >= kind.floor - NEAR:
-            self.answer(query, False)
-        elif query.open and self.now >= query.end:
-            self.end(query, self.s.limits.max_retry_after_us)
-
     def answer(self, query, whole):
         self.act(i.Answer(query.id, whole))
         if query.step == 1 and query.kind.second_step:
@@ -431,10 +428,11 @@
         else:
             self.close(query)
 
-    def end(self, query, pause):
+    def end(self, query):
         """The final answer of a query given up on, at once; refused only where asking again is harmless."""
         if query.kind.repeat is Repeat.SAFE or not any(part.risks for part in query.parts):
-            self.act(i.Refuse(query.id, min(pause, self.s.limits.max_retry_after_us)))
+            most = self.s.limits.max_retry_after_us
+            self.act(i.Refuse(query.id, most if self.now >= query.end else min(PAUSE_US, most)))
         else:
             self.act(i.GiveUp(query.id))
         self.close(query)
--- a/mothnotch/state.py
+++ b/mothnotch/state.py
@@ -89,7 +89,7 @@
     """Running means and medians of answers: latency, throughput, parts ahead."""
 
     def __init__(self, drift):
-        self.drift, self.ahead = drift, 0.0
+        self.drift, self.ahead, self.fails, self.ended_us = drift, 0.0, 0.0, 0
         self.latency = self.rate = self.middle_latency = self.middle_rate = None
 
     def take(self, attempt, blend):
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -241,3 +241,50 @@
     query, actions = root.ask(key="last")
     assert of(i.Send, actions)
     assert of(i.Send, root.end(f"{query}.0", i.Result.ERROR, latency=1 * MS))
+
+
+def test_the_weights_of_the_unit_keep_their_signs():
+    """Labels that say the reverse: long latencies and many parts out were fast."""
+    root = Root()
+    samples = [((300, 300, 300, 9, 9, 9, 1, 1, 1, 5), 0), ((10, 10, 10, 0, 0, 0, 5, 5, 5, 5), 1)] * 50
+    root.balancer.predictor.kept.extend(samples)
+    root.balancer.predictor.marks["s1"] = 0, 10
+    root.run(5 * S)
+    unit = root.balancer.predictor.unit
+    assert all(w >= 0 for w in unit.weights[:6]) and all(w <= 0 for w in unit.weights[6:9])
+
+
+def test_parts_hopeless_in_time_are_not_asked_where_the_others_may_answer():
+    root = Root(query_class(floor=0.5, whole_at=1.0, partial_worth=0.8), cells=2,
+                servers=(entry("s1", cell=0), entry("s2", cell=1)))
+    for _ in range(15):
+        query, _ = root.ask(shards=(0, 1))
+        root.now += 50 * MS
+        root.end(f"{query}.0")
+        root.end(f"{query}.1", latency=50 * MS)
+    for _ in range(4):                           # s2 turns all away
+        query, _ = root.ask(shards=(1,))
+        root.end(f"{query}.0", i.Result.REJECTED, latency=1 * MS)
+    root.ask(shards=(1,))                        # and one part hangs there
+    root.now += 950 * MS
+    query, actions = root.ask(shards=(0, 1))
+    assert [a.server for a in of(i.Send, actions) if a.part.startswith(query)] == ["s1"]
+    assert of(i.Answer, root.end(f"{query}.0")) == [i.Answer(query, False)]
+
+
+def test_rejections_all_over_count_against_servers_not_heard_of_and_are_forgotten():
+    root = Root(servers=[entry(f"s{n}", cell=n) for n in range(8)], cells=8)
+    for shard in (0, 1, 2, 3) * 8:
+        query, _ = root.ask(shards=(shard,))
+        root.now += 20 * MS
+        root.end(f"{query}.0", latency=200 * MS)
+    unheard = root.balancer.servers["s7"]
+    calm = unheard.expect(root.now)
+    for shard in (0, 1, 2, 3) * 8:
+        query, _ = root.ask(shards=(shard,))
+        if (f"{query}.0", 0) in root.out:
+            root.now += 5 * MS
+            root.end(f"{query}.0", i.Result.REJECTED, latency=1 * MS)
+    assert unheard.expect(root.now) > 1.2 * calm
+    root.run(3 * S)
+    assert unheard.expect(root.now) < 1.1 * calm
