--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -27,7 +27,7 @@
 MORE_SHARE, MORE_BURST = 0.2, 20   # tokens for further attempts: so many a part taken, so many at once
 RESERVE = 8              # tokens that moves and copies leave to retries: a lost part loses its whole query
 FADE_US, FAIL_COST = 2_000_000, 4  # what was seen of a server fades so fast; cost of failing, in latencies
-SHED_FROM = 0.35         # the least worthy work is refused once it would take this share of its time
+SHED_FROM = 0.25         # the least worthy work is refused once it would take this share of its time
 COLD_LOAD = 1.5          # a cold server gets at most this multiple of its guessed present capacity
 BURST_S = 2              # a tenant's share may come in bursts of so many seconds
 CUT, KEEP_LATE = 0.95, 0.2  # share of the usual length under which a try was cut; late worth that pays
@@ -98,8 +98,8 @@
 
     def silent(self, now):
         """Whether it has answered nothing since a part that has been out for long was sent."""
-        age = self.oldest(now)
-        return age > PATIENCE * (self.fleet.middle_latency or math.inf) and self.heard_us <= now - age
+        age, usual = self.oldest(now), self.fleet.usual(next(iter(self.out.values())).cost if self.out else 0)
+        return age > PATIENCE * usual and self.heard_us <= now - age
 
     def suspect(self, now):
         """Guards against servers that fail fast, refuse, hang or vanish, before any label can tell."""
@@ -320,7 +320,7 @@
         attempt = state.Attempt(part, server, self.now, admitted)
         self.attempts[part.id, attempt.n] = attempt
         server.work.add(self.now, part.cost + self.s.call_work_us)
-        patience = int(PATIENCE * max(self.fleet.middle_latency or self.aim_us / 4, part.cost))
+        patience = int(PATIENCE * min(self.fleet.usual(part.cost), self.aim_us / 2))
         # Where nothing can be cancelled, a time-out is the only way to leave a stuck attempt.
         limit = part.query.end - self.now if self.s.limits.cancel or not self.may_repeat(part) else patience
         self.act(i.Send(part.id, server.id, max(self.s.tick_us, limit)))
--- a/mothnotch/state.py
+++ b/mothnotch/state.py
@@ -92,6 +92,10 @@
         self.drift, self.ahead, self.fails, self.ended_us = drift, 0.0, 0.0, 0
         self.latency = self.rate = self.middle_latency = self.middle_rate = None
 
+    def usual(self, cost):
+        """The time that work of such a cost mostly takes, or the typical answer if that is longer."""
+        return math.inf if self.latency is None else max(self.middle_latency, cost / self.middle_rate)
+
     def take(self, attempt, blend):
         if self.latency is None:
             self.latency = self.middle_latency = float(attempt.latency)
