--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -213,15 +213,12 @@
                 server.up = server.up and server.id in listed
         self.cells = state.grouped((server.cell, server) for server in self.servers.values() if server.up)
 
-    def holding(self, part):
-        """Holders of the part's shard, in no order that means anything."""
-        cells = [(part.shard + j) % self.s.cells for j in range(min(self.s.reach, self.s.cells))]
-        return [h for cell in cells for h in self.cells.get(cell, ())]
-
     def holders(self, part):
         """Holders of the part's shard in hash order: home first."""
-        return state.rendezvous(f"{part.query.key}|{part.shard}",
-                                [(h.weight if self.s.weighted else 1.0, h.id, h) for h in self.holding(part)])
+        cells = [(part.shard + j) % self.s.cells for j in range(min(self.s.reach, self.s.cells))]
+        weighted = [(h.weight if self.s.weighted else 1.0, h.id, h)
+                    for cell in cells for h in self.cells.get(cell, ())]
+        return state.rendezvous(f"{part.query.key}|{part.shard}", weighted)
 
     def on_query(self, event):
         kind = self.s.classes[event.class_name]
@@ -276,7 +273,7 @@
         density *= kind.late_worth if late else 1.0
         left = (query.end if late else query.aim) - self.now
         time = left * (SHED_FROM + (1 - SHED_FROM) * self.densities.rank(density))
-        return [p for p in parts if all(h.expect(self.now) > time for h in self.holding(p))]
+        return [p for p in parts if all(h.expect(self.now) > time for h in self.holders(p))]
 
     def slow(self, server, part):
         """The verdict on a server, one a query and server, at most VERDICTS a query."""
@@ -368,6 +365,8 @@
                 self.predictor.learn(labelled, label)
         if died:
             self.deaths.add(query.key, server.id, self.now)
+            if self.deaths.count(query.key, self.now) == DEATHS:
+                self.act(i.Log(f"key {query.key} distrusted: {DEATHS} servers died under it"))
         if part.done or part.lost or not query.open:
             return
         if result is Result.OK:
@@ -385,7 +384,7 @@
 
     def retry(self, part, free=False):
         if self.may_repeat(part) and (free or self.more.take(self.now)):
-            untried = any(h not in part.tried for h in self.holding(part))
+            untried = any(h not in part.tried for h in self.holders(part))
             self.later(0 if untried else HOLD_US, self.place, part)
         else:
             self.lose(part)
--- a/mothnotch/drill.py
+++ b/mothnotch/drill.py
@@ -115,7 +115,6 @@
     i.Wake: lambda r, a: f"NOTIFY_ME root={r} label={a.token} offsetUs={a.delay_us}",
     i.Probe: lambda r, a: f"HEALTH_CHECK root={r} leaf={a.server}",
     i.Disconnect: lambda r, a: f"DISCONNECT root={r} leaf={a.server}",
-    i.TellPeers: lambda r, a: f"WRITE_PEER root={r} recipient=-1 body={a.body.hex() or '-'}",
     i.Subscribe: lambda r, a: f"SUBSCRIBE root={r} full=1",
     i.Log: lambda r, a: f"DEBUG root={r} msg={a.text}",
 }
--- a/mothnotch/interface.py
+++ b/mothnotch/interface.py
@@ -251,11 +251,6 @@
     server: str                    # close idle connections to it; the next send opens a new one
 
 
-@dataclass(slots=True, frozen=True)
-class TellPeers:
-    body: bytes                    # to every other root; at most 256 bytes, may be lost
-
-
 @dataclass(slots=True, frozen=True)
 class Subscribe:
     pass
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -308,6 +308,7 @@
         root.now += 5 * MS
     said = break_all(root, query, 4)
     assert not of(i.Send, said) and of(i.Refuse, said)[0].query == query
+    assert of(i.Log, said) == [i.Log("key bad distrusted: 2 servers died under it")]
     assert of(i.Refuse, root.ask(shards=(0, 1, 2, 3), key="bad")[1])
     assert not of(i.Refuse, root.ask(shards=(0, 1, 2, 3), key="other")[1])
     for part, n in list(root.out):
