--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -71,16 +71,15 @@
         self.weight = entry.weight if 0 < entry.weight < math.inf else 1.0
         if entry.started_us > self.started_us:
             self.forget(state.Running(DRIFT), DEPTH, now)
-            self.started_us, self.cold_at = entry.started_us, max(self.cold_at, entry.started_us)
-            self.sent_us, self.turn = 0, rng.random()
+            self.started_us, self.sent_us, self.turn = entry.started_us, 0, rng.random()
 
     def room(self, now, work, rules, roots):
         """Guards against pushing over a server that just started: this root's share of what one core surely
         does at that age. A share under a part is saved up, from a drawn start, so that the sum holds."""
-        if not self.cold_at or now - self.cold_at >= rules.cold_us:
+        if not self.started_us or now - self.started_us >= rules.cold_us:
             return True
-        pace = min(COLD_LOAD, rules.fall_multiple) * rules.sure_capacity(now - self.cold_at) / roots
-        saved = (now - max(self.cold_at, self.sent_us)) * pace
+        pace = min(COLD_LOAD, rules.fall_multiple) * rules.sure_capacity(now - self.started_us) / roots
+        saved = (now - max(self.started_us, self.sent_us)) * pace
         return self.work.total(now) + work <= pace * rules.fall_us or saved >= self.turn * work
 
     def oldest(self, now):
@@ -339,10 +338,10 @@
         part = attempt.part
         if attempt.n not in part.out or not part.query.open or len(part.out) > 1:
             return
-        best = self.best([h for h in self.holders(part) if h not in part.tried and not h.suspect(self.now)
+        holders = self.holders(part) if attempt.server.silent(self.now) else []
+        best = self.best([h for h in holders if h not in part.tried and not h.suspect(self.now)
                           and h.room(self.now, part.cost, self.s.rules, self.s.roots)])
-        if not (best and attempt.server.silent(self.now) and self.may_repeat(part)
-                and best.expect(self.now) < self.now - attempt.sent_us
+        if not (best and self.may_repeat(part) and best.expect(self.now) < self.now - attempt.sent_us
                 and self.more.take(self.now, 1, RESERVE)):
             self.later(max(self.s.tick_us, self.fleet.middle_latency or 0), self.review, attempt)
             return
--- a/mothnotch/state.py
+++ b/mothnotch/state.py
@@ -36,7 +36,7 @@
     """What a root has seen of one server."""
 
     def __init__(self, server, fleet, span, means, depth, now):
-        self.id, self.fleet, self.started_us, self.cold_at, self.turn = server, fleet, 0, 0, 0.0
+        self.id, self.fleet, self.started_us, self.turn = server, fleet, 0, 0.0
         self.out, self.work = {}, Window(span)   # attempts out, oldest first; work sent lately
         self.forget(means, depth, now)
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,14 @@
 UNSAFE = dict(repeat=i.Repeat.UNSAFE)
 
 
+def learn(root):
+    """Lets the root hear of its servers."""
+    for _ in range(12):
+        query, _ = root.ask()
+        root.now += 50 * MS
+        root.end(f"{query}.0")
+
+
 def finals(root):
     return [a for a in root.said if isinstance(a, FINAL)]
 
@@ -89,10 +97,7 @@
 @pytest.mark.parametrize("copies", [False, True])
 def test_two_attempts_are_out_at_once_only_where_allowed(copies):
     root = Root(limits={"second_copies": copies})
-    for _ in range(12):
-        query, _ = root.ask()
-        root.now += 50 * MS
-        root.end(f"{query}.0")
+    learn(root)
     root.ask()
     seen = root.run(900 * MS)
     assert len(of(i.Send, seen)) == (1 if copies else 0)
@@ -101,10 +106,7 @@
 
 def test_a_copy_that_loses_is_called_off():
     root = Root(limits={"second_copies": True})
-    for _ in range(12):
-        query, _ = root.ask()
-        root.now += 50 * MS
-        root.end(f"{query}.0")
+    learn(root)
     root.ask()
     root.run(900 * MS)
     assert of(i.Cancel, root.end("q13.0", attempt=1)) == [i.Cancel("q13.0", 0)]
@@ -254,14 +256,6 @@
     assert day() == day()
 
 
-def learn(root, times=12):
-    """Lets the root hear of its servers."""
-    for _ in range(times):
-        query, _ = root.ask()
-        root.now += 50 * MS
-        root.end(f"{query}.0")
-
-
 def test_a_connection_lost_while_idle_costs_one_more_try_at_the_same_server_and_no_blame():
     root = Root()
     learn(root)
