--- a/mothnotch/balance.py
+++ b/mothnotch/balance.py
@@ -212,11 +212,14 @@
                 server.up = server.up and server.id in listed
         self.cells = state.grouped((server.cell, server) for server in self.servers.values() if server.up)
 
+    def holding(self, part):
+        """Holders of the part's shard, in no order that means anything."""
+        cells = [(part.shard + j) % self.s.cells for j in range(min(self.s.reach, self.s.cells))]
+        return [h for cell in cells for h in self.cells.get(cell, ())]
+
     def holders(self, part):
         """Holders of the part's shard in hash order: home first."""
-        cells = [(part.shard + j) % self.s.cells for j in range(min(self.s.reach, self.s.cells))]
-        weighted = [(h.weight if self.s.weighted else 1.0, h.id, h)
-                    for cell in cells for h in self.cells.get(cell, ())]
+        weighted = [(h.weight if self.s.weighted else 1.0, h.id, h) for h in self.holding(part)]
         return state.rendezvous(f"{part.query.key}|{part.shard}", weighted)
 
     def on_query(self, event):
@@ -264,15 +267,14 @@
     def late(self, query, parts):
         """Guards against overload and dead shards: the parts that would come too late, more of them the less
         the work is worth. Harm: with stale latencies it leaves out work that would have been in time."""
-        kind = query.kind
-        density = kind.worth / (len(parts) * (self.class_cost[kind.name] + self.s.call_work_us))
+        density = query.kind.worth / (len(parts) * (self.class_cost[query.kind.name] + self.s.call_work_us))
         if query.tenant in self.shares and not self.shares[query.tenant].take(self.now):
             density *= self.s.over_share_worth
         late = query.aim <= self.now                   # asked again, and too late for its full worth
-        density *= kind.late_worth if late else 1.0
+        density *= query.kind.late_worth if late else 1.0
         left = (query.end if late else query.aim) - self.now
         time = left * (SHED_FROM + (1 - SHED_FROM) * self.densities.rank(density))
-        return [p for p in parts if all(h.expect(self.now) > time for h in self.holders(p))]
+        return [p for p in parts if all(h.expect(self.now) > time for h in self.holding(p))]
 
     def slow(self, server, part):
         """The verdict on a server, one a query and server, at most VERDICTS a query."""
@@ -383,7 +385,7 @@
 
     def retry(self, part, free=False):
         if self.may_repeat(part) and (free or self.more.take(self.now)):
-            untried = any(h not in part.tried for h in self.holders(part))
+            untried = any(h not in part.tried for h in self.holding(part))
             self.later(0 if untried else HOLD_US, self.place, part)
         else:
             self.lose(part)
