--- a/mothnotch/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -1,4 +1,4 @@
-"""Every decision of a root. Its types, events and actions stand in mothnotch/interface.py.
+"""Every decision of a root. Its types, events and actions stand in mothnotch/decisions/interface.py.
 
 The ordinary path is HEIMDALL's (EuroSys '25, docs/design.md): a part goes to its hashed home unless
 a learned verdict calls it slow and another holder not. All else guards that path and says against what."""
@@ -7,9 +7,9 @@
 from collections import deque
 from statistics import median
 
-from mothnotch import interface as i
-from mothnotch import state
-from mothnotch.interface import News, Repeat, Result
+from mothnotch.decisions import interface as i
+from mothnotch.decisions import state
+from mothnotch.decisions.interface import News, Repeat, Result
 
 DEPTH = 3                # answers in a server's history, as the paper found enough
 VERDICTS = 32            # k: verdicts a query may ask for; one for each server of a wide query
--- a/mothnotch/state.py
+++ b/mothnotch/decisions/state.py
@@ -7,7 +7,7 @@
 from collections import deque
 from hashlib import blake2b
 
-from mothnotch.interface import ANSWERED, NEVER_RAN
+from mothnotch.decisions.interface import ANSWERED, NEVER_RAN
 
 
 class Attempt:
--- a/mothnotch/drill.py
+++ b/mothnotch/drill.py
@@ -6,8 +6,8 @@
 import json
 import sys
 
-from mothnotch import interface as i
-from mothnotch.balance import Balancer
+from mothnotch.decisions import interface as i
+from mothnotch.decisions.balance import Balancer
 
 REPEATS = {"pure": i.Repeat.SAFE, "token": i.Repeat.KEYED, "side_effect": i.Repeat.UNSAFE}
 RESULTS = {"completed": i.Result.OK, "errored": i.Result.ERROR, "saturated": i.Result.REJECTED,
--- a/tests/root.py
+++ b/tests/root.py
@@ -1,8 +1,8 @@
 """A hand-driven root: settings, a clock and short ways to make events."""
 from dataclasses import replace
 
-from mothnotch import interface as i
-from mothnotch.balance import Balancer
+from mothnotch.decisions import interface as i
+from mothnotch.decisions.balance import Balancer
 
 MS, S = 1_000, 1_000_000
 
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mothnotch import drill
-from mothnotch import interface as i
+from mothnotch.decisions import interface as i
 
 OPTIONS = {
     "balancers": 2, "me": 1, "zone": "a", "stepUs": 5000, "weightSource": "nominal", "discovery": "automatic",
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,7 +1,7 @@
 """Size limits of the decision module."""
 from pathlib import Path
 
-BALANCE = Path(__file__).parent.parent / "mothnotch" / "balance.py"
+BALANCE = Path(__file__).parent.parent / "mothnotch" / "decisions" / "balance.py"
 
 
 def test_decision_module_stays_small():
@@ -11,4 +11,4 @@
 
 
 def test_docstring_names_the_interface_first():
-    assert "mothnotch/interface.py" in BALANCE.read_text().split("\n\n")[0]
+    assert "mothnotch/decisions/interface.py" in BALANCE.read_text().split("\n\n")[0]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,7 +1,7 @@
 """The ordinary path: hashed home, learned verdict, trial; and the guards of health and load."""
 import pytest
 
-from mothnotch import interface as i
+from mothnotch.decisions import interface as i
 from tests.root import MS, Root, S, entry, of, query_class
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,7 +1,7 @@
 """The six rules, and what the settings allow."""
 import pytest
 
-from mothnotch import interface as i
+from mothnotch.decisions import interface as i
 from tests.root import MS, Root, S, entry, of, query_class
 
 FINAL = (i.Answer, i.Refuse, i.GiveUp)
