Drivers work against the root: psycopg, asyncpg, pg8000, SQLAlchemy, psql; savepoints

Need: clients come with their own drivers. Found and mended: bytes arriving while an answer was flushed set an event nobody waited for any more, and the session slept for ever.

--- a/mothnotch/decisions/transactions.py
+++ b/mothnotch/decisions/transactions.py
@@ -31,7 +31,8 @@
     shard: int | None = None                     # the one range its writes name
     writes: list = field(default_factory=list)   # [(payload, rows told)]
     tables: set = field(default_factory=set)     # written so far
-    most: int = 64                               # writes kept at most
+    savepoints: list = field(default_factory=list)   # [(name, writes then, shard then, tables then)]
+    most: int = 64                               # writes kept, and savepoints, at most
 
     def begin(self, read_only=False):
         if self.status is Status.IDLE:
@@ -39,7 +40,36 @@
 
     def reset(self):
         self.status, self.shard, self.read_only = Status.IDLE, None, False
-        self.writes, self.tables = [], set()
+        self.writes, self.tables, self.savepoints = [], set(), []
+
+    # Savepoints cost nothing here: a write after one has not gone anywhere yet, and is forgotten.
+
+    def save(self, name):
+        if self.status is Status.IDLE:
+            raise Refused("25P01", "SAVEPOINT can only be used in transaction blocks")
+        self.check_any()
+        if len(self.savepoints) >= self.most:
+            raise Refused("54000", f"a transaction holds {self.most} savepoints at most")
+        self.savepoints.append((name, len(self.writes), self.shard, set(self.tables)))
+
+    def _named(self, name):
+        for n in range(len(self.savepoints) - 1, -1, -1):
+            if self.savepoints[n][0] == name:
+                return n
+        if self.status is Status.IDLE:
+            raise Refused("25P01", "there is no transaction in progress")
+        raise Refused("3B001", f'savepoint "{name}" does not exist')
+
+    def release(self, name):
+        self.check_any()
+        del self.savepoints[self._named(name):]
+
+    def back_to(self, name):
+        """Forgets what came after the savepoint, a failure too."""
+        n = self._named(name)
+        _, count, self.shard, tables = self.savepoints[n]
+        del self.writes[count:], self.savepoints[n + 1:]
+        self.tables, self.status = set(tables), Status.OPEN
 
     def error(self):
         """A statement failed: all else until the end of the block is refused, and COMMIT rolls back."""
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -77,11 +77,12 @@
 
     async def next_event(self):
         while True:
+            # Made before the look: what arrives during the flush must set this very event, or nobody wakes.
+            self.more = trio.Event()
             event = self.wire.next_event()
             if event is not None:
                 return event
             await self.flush()
-            self.more = trio.Event()
             self.room.set()
             await self.more.wait()
 
--- a/mothnotch/fronts/session.py
+++ b/mothnotch/fronts/session.py
@@ -188,6 +188,10 @@
             return await self.commit()
         if type(statement) is local.Rollback:
             return self.rollback()
+        if type(statement) is local.Savepoint:
+            {"SAVEPOINT": self.transaction.save, "RELEASE": self.transaction.release,
+             "ROLLBACK": self.transaction.back_to}[statement.what](statement.name)
+            return Answer(statement.tag)
         self.transaction.check_any()
         if plan.kind == "select":
             self.transaction.check_read(plan.tables)
--- a/mothnotch/logs.py
+++ b/mothnotch/logs.py
@@ -16,5 +16,8 @@
 
 def silent():
     """A logger that drops everything: for runs that are judged by other means."""
-    return structlog.wrap_logger(structlog.ReturnLogger(), processors=[],
-                                 wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL + 1))
+    def drop(logger, method, event):
+        raise structlog.DropEvent
+
+    return structlog.wrap_logger(structlog.ReturnLogger(), processors=[drop],
+                                 wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
--- a/mothnotch/sql/local.py
+++ b/mothnotch/sql/local.py
@@ -29,6 +29,14 @@
     tag: str = "ROLLBACK"
 
 
+@dataclass(slots=True, frozen=True)
+class Savepoint:
+    """SAVEPOINT, RELEASE or ROLLBACK TO."""
+    what: str
+    name: str
+    tag: str
+
+
 @dataclass(slots=True, frozen=True)
 class Set:
     name: str
@@ -93,7 +101,7 @@
 FIRST = re.compile(r"(?:\s|--[^\n]*\n|/\*.*?\*/)*([a-zA-Z]+)", re.DOTALL)
 SET = re.compile(r"set\s+(?:(session|local)\s+)?(?:(time\s+zone)|([\w.]+)\s*(?:=|\bto\b))\s*(.+)$", re.I | re.S)
 ISOLATION = re.compile(r"isolation\s+level\s+(read\s+committed|read\s+uncommitted|repeatable\s+read|serializable)", re.I)
-NOT_TAKEN = {"savepoint": "SAVEPOINT", "release": "RELEASE SAVEPOINT", "prepare": "PREPARE", "execute": "EXECUTE",
+NOT_TAKEN = {"prepare": "PREPARE", "execute": "EXECUTE",
              "declare": "DECLARE CURSOR", "fetch": "FETCH", "listen": "LISTEN", "notify": "NOTIFY", "lock": "LOCK TABLE",
              "truncate": "TRUNCATE", "create": "CREATE", "alter": "ALTER", "drop": "DROP", "grant": "GRANT",
              "revoke": "REVOKE", "vacuum": "VACUUM", "analyze": "ANALYZE", "call": "CALL", "do": "DO", "merge": "MERGE",
@@ -112,7 +120,7 @@
     handler = {"begin": _begin, "start": _begin, "commit": _commit, "end": _commit, "rollback": _rollback,
                "abort": _rollback, "set": _set, "show": _show, "reset": _reset, "discard": _discard,
                "deallocate": _deallocate, "close": _close, "unlisten": lambda rest: Unlisten(),
-               "explain": _explain}.get(word)
+               "explain": _explain, "savepoint": _savepoint, "release": _savepoint}.get(word)
     return handler(rest) if handler is not None else None
 
 
@@ -136,11 +144,26 @@
 
 
 def _rollback(rest):
-    if re.search(r"\b(to|prepared|and\s+chain)\b", rest, re.I):
-        raise unsupported("ROLLBACK TO, PREPARED or AND CHAIN")
+    if re.match(r"rollback\s+(work\s+|transaction\s+)?to\b", rest, re.I):
+        return _savepoint(rest)
+    if re.search(r"\b(prepared|and\s+chain)\b", rest, re.I):
+        raise unsupported("ROLLBACK PREPARED or AND CHAIN")
     return Rollback()
 
 
+SAVEPOINT = re.compile(r"(savepoint|release(?:\s+savepoint)?|rollback\s+(?:work\s+|transaction\s+)?to(?:\s+savepoint)?)"
+                       r"\s+(\"[^\"]+\"|\w+)$", re.I)
+
+
+def _savepoint(rest):
+    found = SAVEPOINT.match(rest)
+    if found is None:
+        raise SqlError("42601", f'syntax error at or near "{rest[:40]}"')
+    what = found[1].split()[0].upper()
+    name = found[2][1:-1] if found[2][0] == '"' else found[2].lower()
+    return Savepoint(what, name, what)
+
+
 def _set(rest):
     if re.match(r"set\s+(session\s+characteristics\s+as\s+|local\s+)?transaction\b", rest, re.I):
         _modes(rest)
--- a/mothnotch/sql/plan.py
+++ b/mothnotch/sql/plan.py
@@ -14,7 +14,8 @@
 from mothnotch.sql import local
 from mothnotch.sql.dialect import Dialect
 from mothnotch.sql.errors import SqlError, unsupported
-from mothnotch.sql.typer import AGGREGATES, Scope, Typer, check, construct, folded, parameter
+from mothnotch.sql.evaluate import converted
+from mothnotch.sql.typer import AGGREGATES, Scope, Typer, cast_type, check, construct, folded, parameter
 
 MOST_TEXT = 1 << 20               # the longest statement read, in characters
 MOST_TABLES = 8
@@ -22,12 +23,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Operand:
-    """A value known when the statement is bound: a literal, or parameter number `n`."""
+    """A value known when the statement is bound: a literal, or parameter number `n`; cast to a type, if one is
+    named."""
     value: object = None
     n: int | None = None
+    cast: int | None = None
 
     def of(self, parameters):
-        return self.value if self.n is None else parameters[self.n - 1]
+        value = self.value if self.n is None else parameters[self.n - 1]
+        return value if self.cast is None or value is None else converted(value, self.cast)
 
 
 @dataclass(slots=True, frozen=True)
@@ -199,6 +203,8 @@
                 return Writing(self.schema, declared).delete(tree)
         except RecursionError:
             raise SqlError("54001", "statement is nested too deeply") from None
+        if isinstance(tree, exp.Condition):
+            raise SqlError("42601", f'syntax error at or near "{text.split()[0][:40]}"')
         raise unsupported(construct(tree) if not isinstance(tree, exp.Command) else f"{tree.name.upper()}",
                           "the root takes SELECT, INSERT, UPDATE, DELETE and session statements")
 
@@ -249,6 +255,9 @@
         return Operand(n=n)
     if isinstance(node, exp.Paren):
         return operand(node.this)
+    if isinstance(node, exp.Cast) and not isinstance(node.this, exp.Cast):
+        inner, oid = operand(node.this), cast_type(node)
+        return Operand(inner.value, inner.n, oid) if inner is not None and oid in t.INTS else None
     if isinstance(node, exp.Neg) and isinstance(node.this, exp.Literal) and not node.this.is_string:
         return Operand(-number(node.this.this))
     if isinstance(node, exp.Literal):
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,74 @@
+"""A root and its stand-in fleet on loopback sockets, in a thread of their own, for drivers that block."""
+import contextlib
+import inspect
+import threading
+
+import trio
+
+from mothnotch import demo, logs, net
+from mothnotch.daemon import Root
+from mothnotch.root.roster import MemoryRoster
+from mothnotch.standins.leaf import Fleet
+
+
+class Running:
+    """What a test gets: where the root listens, the leaves, what they recorded, and a way into the run's thread."""
+
+    def __init__(self):
+        self.seen, self.ready = [], threading.Event()
+        self.root = self.fleet = self.store = self.error = None
+
+    @property
+    def host(self):
+        return self.root.addresses[0].split(":")[0]
+
+    @property
+    def port(self):
+        return int(self.root.addresses[0].split(":")[1])
+
+    def call(self, function, *args):
+        """Runs a function, sync or async, in the run's thread."""
+        run = trio.from_thread.run if inspect.iscoroutinefunction(function) else trio.from_thread.run_sync
+        return run(function, *args, trio_token=self.token)
+
+    def url(self, user="me"):
+        return f"postgresql://{user}@{self.host}:{self.port}/stock"
+
+
+@contextlib.contextmanager
+def running(changes=None, **options):
+    """A root on the demo's configuration with `changes`; `options` go to the leaves."""
+    state = Running()
+
+    async def main():
+        state.token = trio.lowlevel.current_trio_token()
+        network = net.SocketNetwork()
+        async with trio.open_nursery() as nursery:
+            state.scope = nursery.cancel_scope
+            state.store, leaves = demo.leaves(network, state.seen.append, work_ms=options.pop("work_ms", 0.3), **options)
+            state.fleet = Fleet(leaves, nursery)
+            await state.fleet.start()
+            state.roster = MemoryRoster(demo.roster_text(state.fleet))
+            state.root = await nursery.start(Root(demo.config(**(changes or {})), network, logs.silent(), state.roster).run)
+            state.ready.set()
+
+    def thread():
+        try:
+            trio.run(main)
+        except BaseException as error:
+            state.error = error
+        finally:
+            state.ready.set()
+
+    worker = threading.Thread(target=thread, daemon=True)
+    worker.start()
+    assert state.ready.wait(30)
+    if state.error is not None:
+        raise state.error
+    try:
+        yield state
+    finally:
+        state.token.run_sync_soon(state.scope.cancel)
+        worker.join(10)
+    if state.error is not None:
+        raise state.error
