--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -123,6 +123,10 @@
     async def do_fast_errors(self, t, names):
         await self.during(t, names, errors=t.share)
 
+    async def do_lost_answers(self, t, names):
+        """Commits are done and their word is lost: what the keys are for."""
+        await self.during(t, names, lose=t.share)
+
     async def do_idle_reap(self, t, names):
         await self.during(t, names, idle_reap_s=0.2, silent_reap=t.share > 0.9)
 
@@ -355,7 +359,7 @@
         """`start_roots(day, nursery)` starts the roots, filling in `rosters` and `addresses`."""
         async with trio.open_nursery() as life:
             self.fleet, self.told = Fleet(self.leaves, life), {}
-            await self.fleet.start()
+            await self.fleet.start(self.script.leaves.fresh)
             await start_roots(self, life)
             async with trio.open_nursery() as self.nursery:
                 for trouble in self.script.troubles:
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -150,6 +150,42 @@
                 failed([f"cannot listen at {listen}: {error}" for error in group.exceptions])
 
 
+@app.command
+def badday(script: Path | None = None, *, seed: int | None = None, virtual: bool = False, drawn: bool = False):
+    """Play a bad day through real roots and judge the six rules; status 1 if one broke.
+
+    Without SCRIPT, the day that comes with the program; with --drawn, the one drawn from the seed. --virtual plays
+    it in memory on a virtual clock, where the same seed gives the same day.
+    """
+    from mothnotch.audit.rules import judge, service
+    from mothnotch.badday import play
+    from mothnotch.badday import script as scripts
+    seed = 1 if seed is None else seed
+    try:
+        day = (scripts.drawn(seed) if drawn else scripts.DEFAULT if script is None
+               else scripts.load(script.read_text(encoding="utf-8"), script))
+    except OSError as error:
+        failed([f"{script}: cannot be read: {error.strerror}"])
+    except ConfigError as error:
+        failed(error.errors)
+    record = play.play_virtual(day, seed) if virtual else play.play_sockets(day, seed)
+    verdicts = judge(record)
+    finals = {}
+    for ask in record.asks:
+        finals[ask.final or "none"] = finals.get(ask.final or "none", 0) + 1
+    print(f"seed {seed}, {'virtual' if virtual else 'sockets'}, {day.roots} roots, {day.seconds:g} s, troubles: "
+          f"{', '.join(t.kind for t in day.troubles) or 'none'}")
+    print(f"asked {len(record.asks)}: " + ", ".join(f"{name} {n}" for name, n in sorted(finals.items())))
+    for verdict in verdicts:
+        print(f"  {verdict.rule:32} {verdict.checked:6} checked {len(verdict.breaches):4} broken")
+        for line in verdict.breaches[:5]:
+            print(f"      {line}")
+    print("service: " + ", ".join(f"{name} {share:.3f}" for name, share in sorted(service(record).items())))
+    if any(verdict.breaches for verdict in verdicts):
+        print(f"replay: bin/mothnotch badday {script or ''} --seed {seed}{' --drawn' if drawn else ''} --virtual")
+        sys.exit(1)
+
+
 @app.command
 def example():
     """Print a configuration to start from."""
--- a/mothnotch/standins/leaf.py
+++ b/mothnotch/standins/leaf.py
@@ -27,6 +27,7 @@
     pause_until: float = 0.0         # stands still until then
     idle_reap_s: float | None = None  # closes connections idle for so long
     silent_reap: bool = False        # ... without telling the peer
+    lose: float = 0.0                # share of commits whose word never gets back to the peer
     poison: str = ""                 # a statement with a value that begins so ends the process
 
 
@@ -343,6 +344,8 @@
             for sql, values in statements:
                 self.see("commit", sql, values, "", session.shard)
             self.forget_keys(session.shard)
+            if self.rng.random() < self.trouble.lose:
+                await trio.sleep_forever()
         return [], [], "COMMIT"
 
     def forget_keys(self, shard):
@@ -405,9 +408,9 @@
         self.leaves, self.nursery = {leaf.s.name: leaf for leaf in leaves}, nursery
         self.states = {name: "up" for name in self.leaves}
 
-    async def start(self):
+    async def start(self, cold=False):
         for leaf in self.leaves.values():
-            await self.nursery.start(leaf.run)
+            await self.nursery.start(leaf.run, cold)
 
     async def restart(self, name):
         """A new process in the place of the old: cold."""
