--- a/mothnotch/pgwire/auth.py
+++ b/mothnotch/pgwire/auth.py
@@ -1,10 +1,13 @@
 """SCRAM-SHA-256 at the server's and the client's side (RFC 5802, RFC 7677), by the `scramp` library."""
+import re
+
 from scramp import ScramClient, ScramException, ScramMechanism
 
 from mothnotch.pgwire import backend as b
 from mothnotch.pgwire.framing import ProtocolError
 
 MECHANISM = "SCRAM-SHA-256"
+NAMELESS = re.compile(r"^([^,]*,[^,]*,)n=,")
 
 
 class AuthFailed(Exception):
@@ -34,7 +37,10 @@
                 mechanism, text = message.sasl_initial()
                 if mechanism != MECHANISM:
                     raise AuthFailed(f"mechanism {mechanism!r} was not offered")
-                self.server.set_client_first(text)
+                self.server.set_client_first(NAMELESS.sub(r"\1n=startup,", text))
+                # libpq leaves the name empty, as the startup packet gave it, and the library takes no empty name: it
+                # reads another, and the exchange goes on over what was really said.
+                self.server.client_first_bare = text.split(",", 2)[2]
                 return b.sasl_continue(self.server.get_server_first()), False
             self.server.set_client_final(message.text())
             final = self.server.get_server_final()
