Calls take one cancel scope and no Describe; benchmark against a hand-written scatter/gather

Need: the root's cost was not known, and was high. Change: command bench; a call waits under one scope instead of one a message, asks for no column description, keeps encoded Parse messages, and passes quiet messages over; classes are hashed as themselves.

--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -76,8 +76,8 @@
 
 @app.command
 def leaves(*, roster: Path, listen: str = "127.0.0.1", seed: int = 1, rows: int = 250, work_ms: float = 2.0,
-           parent: int = 0):
-    """Run the demo's stand-in leaves, writing their roster file. Ends with its parent, if one is named."""
+           parent: int = 0, only: int | None = None):
+    """Run the demo's stand-in leaves, or one `only`, writing their roster file. Ends with its parent, if named."""
     from mothnotch.standins.leaf import Fleet
 
     async def watch(scope):
@@ -93,7 +93,10 @@
             _, made = demo_fleet.leaves(net.SocketNetwork(), lambda seen: None, seed=seed, rows=rows,
                                         address=f"{listen}:0", work_ms=work_ms)
             fleet = Fleet(made, nursery)
-            await fleet.start()
+            if only is None:
+                await fleet.start()
+            else:
+                await nursery.start(made[only].run)
             whole = roster.with_suffix(".new")
             whole.write_text(demo_fleet.roster_text(fleet))
             whole.rename(roster)
@@ -104,7 +107,7 @@
 @contextlib.contextmanager
 def leaf_processes(folder, **options):
     """Stand-in leaves in a process of their own, ended with the block; gives the roster file once it is there."""
-    roster = Path(folder) / "roster.json5"
+    roster = Path(folder) / f"roster{options.get('only', '')}.json5"
     words = [sys.executable, "-m", "mothnotch", "leaves", "--roster", str(roster), "--parent", str(os.getpid())]
     for name, value in options.items():
         words += [f"--{name.replace('_', '-')}", str(value)]
@@ -186,6 +189,15 @@
         sys.exit(1)
 
 
+@app.command
+def bench(*, seconds: float = 5.0, clients: int = 16, profile: bool = True):
+    """Compare, in one run over the same leaves: a driver straight to one leaf, a hand-written scatter/gather, the root."""
+    from mothnotch import bench as benches
+    with tempfile.TemporaryDirectory(prefix="mothnotch-") as folder, contextlib.ExitStack() as stack:
+        rosters = [stack.enter_context(leaf_processes(folder, only=n, work_ms=0)) for n in range(demo_fleet.CELLS)]
+        benches.run(Path(folder), rosters, seconds, clients, profile)
+
+
 @app.command
 def example():
     """Print a configuration to start from."""
--- a/mothnotch/decisions/interface.py
+++ b/mothnotch/decisions/interface.py
@@ -46,7 +46,7 @@
 
 # ---- settings ----
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, frozen=True, eq=False)     # one object a class: compared and hashed as itself, which is quick
 class QueryClass:
     name: str
     aim_us: int                    # answers within this earn the full worth
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -10,7 +10,7 @@
 from mothnotch.leaves.payload import Rows, affected
 from mothnotch.net import shut
 from mothnotch.pgwire import auth, client
-from mothnotch.pgwire.backend import Column, ErrorFields
+from mothnotch.pgwire.backend import ErrorFields
 
 KEYS = "mothnotch_keys"
 KEY_SQL = f"INSERT INTO {KEYS} (key, answer) VALUES ($1, '')"
@@ -101,8 +101,6 @@
         if kind is client.Row:
             if attempt.hold(event.size):
                 self.rows.rows.append(event.values)
-        elif kind is client.Columns:
-            self.rows.columns = event.columns
         elif kind is client.Complete:
             self.rows.tags.append(event.tag)
         elif kind is client.Failed:
@@ -156,8 +154,6 @@
         if kind is client.Row:
             if self.attempt.hold(event.size):
                 self.rows.rows.append(event.values)
-        elif kind is client.Columns:
-            self.rows.columns = event.columns
         elif kind is client.Complete:
             self.completed.append(event.tag)
             self.answers.append(self.rows)
@@ -186,7 +182,7 @@
             told, now = next((t, n) for t, n in zip(self.payload.told, counts, strict=True) if t not in (None, n))
             return self.roll_back(ErrorFields("ERROR", sqlstate, text.format(told=told, now=now), hint=hint))
         last = self.answers[-1]
-        self.answer = Rows(last.columns, last.rows, tags)
+        self.answer = Rows(last.rows, tags)
         kept = packed(self.answer)
         if len(kept) > ANSWER_LIMIT:
             return self.roll_back(ErrorFields("ERROR", "54000", f"the answer of a write would pass {ANSWER_LIMIT} "
@@ -227,10 +223,10 @@
 
 def packed(rows):
     """An answer as it is kept beside its key: command tags and rows, JSON."""
-    return msgspec.json.encode([rows.tags, [[None if v is None else v.decode() for v in row] for row in rows.rows],
-                                [[c.name, c.oid, c.size] for c in rows.columns]]).decode()
+    return msgspec.json.encode([rows.tags, [[None if v is None else v.decode() for v in row]
+                                            for row in rows.rows]]).decode()
 
 
 def unpacked(raw):
-    tags, rows, columns = msgspec.json.decode(raw)
-    return Rows([Column(*c) for c in columns], [[None if v is None else v.encode() for v in row] for row in rows], tags)
+    tags, rows = msgspec.json.decode(raw)
+    return Rows([[None if v is None else v.encode() for v in row] for row in rows], tags)
--- a/mothnotch/leaves/payload.py
+++ b/mothnotch/leaves/payload.py
@@ -31,8 +31,7 @@
 
 @dataclass(slots=True)
 class Rows:
-    """What one part brought: the rows as they came (values in text format), their columns and command tags."""
-    columns: list = field(default_factory=list)
+    """What one part brought: the rows as they came (values in text format), and command tags."""
     rows: list = field(default_factory=list)
     tags: list = field(default_factory=list)
 
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -5,6 +5,8 @@
 ends UNSENT at once and the module is asked again; `cancels` cancel connections a leaf at once, past which the
 connection is only closed.
 """
+import contextlib
+import math
 from dataclasses import dataclass
 
 import trio
@@ -52,7 +54,7 @@
 
     def __init__(self, leaf, exchange):
         self.leaf, self.exchange, self.connection = leaf, exchange, None
-        self.scope = trio.CancelScope()
+        self.scope = None                # of the wait under way
         for attempt in exchange.attempts:
             attempt.call = self
 
@@ -62,9 +64,23 @@
 
     def dropped(self):
         """An attempt of it was called off: once nobody waits for any, it ends."""
-        if not self.live:
+        if self.scope is not None and not self.live:
             self.scope.cancel()
 
+    @contextlib.contextmanager
+    def within(self):
+        """Waits inside end at the first deadline of a live attempt; what has passed then is ended as it is due."""
+        with trio.CancelScope(deadline=min((a.deadline for a in self.live), default=-math.inf)) as self.scope:
+            yield
+        if self.scope.cancelled_caught:
+            now = trio.current_time()
+            late = [a for a in self.live if a.deadline <= now]
+            if len(late) == len(self.live):
+                self.exchange.lost(i.Result.TIMEOUT)
+            else:
+                for attempt in late:
+                    attempt.end(i.Result.TIMEOUT)
+
 
 class Leaves:
     """All leaves. `addresses` follow the roster; what goes to a name without an address ends UNREACHABLE."""
@@ -107,18 +123,15 @@
         self.counts["calls"] += 1
         clean = False
         try:
-            with call.scope:
-                try:
-                    clean = await self.drive(call)
-                except Unanswered as error:
-                    exchange.lost(outcomes.of_error(error.fields.sqlstate)[1]
-                                  if outcomes.of_error(error.fields.sqlstate)[0] is outcomes.Fault.SERVER
-                                  else i.Result.REJECTED)
-                except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError,
-                        ValueError) as error:
-                    if isinstance(error, ProtocolError):
-                        self.log.warning("leaf broke the protocol", leaf=leaf.name, error=str(error))
-                    exchange.lost(i.Result.BROKEN if call.connection else i.Result.UNREACHABLE)
+            clean = await self.drive(call)
+        except Unanswered as error:
+            whose, result = outcomes.of_error(error.fields.sqlstate)
+            exchange.lost(result if whose is outcomes.Fault.SERVER else i.Result.REJECTED)
+        except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError,
+                ValueError) as error:
+            if isinstance(error, ProtocolError):
+                self.log.warning("leaf broke the protocol", leaf=leaf.name, error=str(error))
+            exchange.lost(i.Result.BROKEN if call.connection else i.Result.UNREACHABLE)
         finally:
             connection = call.connection
             if connection is not None:
@@ -135,39 +148,32 @@
     async def drive(self, call):
         """Runs a call to its end; true if its connection may be used again."""
         exchange = call.exchange
-        connection = await self.connect(call)
+        connection = self.idle(call) or await self.connect(call)
         if connection is None:
             return False
-        await self.bounded(call, connection.stream.send_all, exchange.begin())
+        stream, wire, out, sent = connection.stream, connection.wire, exchange.begin(), False
         while not exchange.over and call.live:
-            event = await self.bounded(call, connection.receive)
-            if event is None:
-                continue
-            out = exchange.take(event)
-            if out:
-                await self.bounded(call, connection.stream.send_all, out)
+            with call.within():
+                if out:
+                    # A send cut short leaves the leaf with half a message: then the connection is of no more use.
+                    sent = False
+                    await stream.send_all(out)
+                    out, sent = b"", True
+                while not exchange.over and call.live and not out:
+                    data = await stream.receive_some(1 << 16)
+                    if not data:
+                        raise EOFError("the leaf closed the connection")
+                    wire.receive(data)
+                    while not exchange.over and (event := wire.next_event()) is not None:
+                        out += exchange.take(event)
+            if not sent:
+                exchange.lost(i.Result.TIMEOUT)
+                return False
         return exchange.over
 
-    async def bounded(self, call, function, *args):
-        """Awaits within the deadlines of the call's live attempts, ending each as its own passes; None if so."""
-        live = call.live
-        if not live:
-            return None
-        with trio.move_on_at(min(a.deadline for a in live)) as scope:
-            return await function(*args)
-        if scope.cancelled_caught:
-            now = trio.current_time()
-            late = [a for a in live if a.deadline <= now]
-            if len(late) == len(live):
-                call.exchange.lost(i.Result.TIMEOUT)
-            else:
-                for attempt in late:
-                    attempt.end(i.Result.TIMEOUT)
-        return None
-
-    async def connect(self, call):
-        """An idle connection that still stands, or a new one; None where the call has ended meanwhile."""
-        leaf, s = call.leaf, self.settings
+    def idle(self, call):
+        """An idle connection that still stands, or None."""
+        leaf = call.leaf
         while leaf.idle:
             connection = leaf.idle.pop()
             if not self.network.lost(connection.stream):
@@ -175,6 +181,11 @@
                 return connection
             connection.close()
             leaf.open -= 1
+        return None
+
+    async def connect(self, call):
+        """A new connection; None where none could be had, or the call has ended meanwhile."""
+        leaf, s = call.leaf, self.settings
         if leaf.open >= s.most:
             self.counts["over_most"] += 1
             call.exchange.lost(i.Result.UNSENT)
@@ -185,6 +196,7 @@
         try:
             with trio.move_on_after(s.connect_timeout_s):
                 async with trio.open_nursery() as opening:
+                    call.scope = opening.cancel_scope
                     # The attempts' own time-outs go on while the connection is made.
                     opening.start_soon(self.watch, call, opening)
                     connection = Connection(await self.network.open(leaf.address), s.message_limit)
--- a/mothnotch/pgwire/client.py
+++ b/mothnotch/pgwire/client.py
@@ -1,12 +1,12 @@
 """The client's side: what a root says to a leaf, and the reading of what the leaf says."""
 import struct
 from dataclasses import dataclass
+from functools import lru_cache
 
 from mothnotch.pgwire import backend as b
 from mothnotch.pgwire.framing import INT32, Framer, ProtocolError, Reader, cstring, message, shorts, values
 
 SYNC, FLUSH, TERMINATE = message(b"S"), message(b"H"), message(b"X")
-DESCRIBE_PORTAL = message(b"D", b"P\0")
 
 
 def startup(parameters):
@@ -22,6 +22,7 @@
     return message(b"Q", cstring(sql))
 
 
+@lru_cache(maxsize=4096)
 def parse(name, sql, oids=()):
     return message(b"P", cstring(name), cstring(sql), struct.pack(f"!H{len(oids)}I", len(oids), *oids))
 
@@ -42,9 +43,13 @@
     return message(b"p", text.encode())
 
 
+EXECUTE = execute()
+
+
 def statement(sql, oids, bound):
-    """Parse, Bind and Execute of the unnamed statement with text parameters and text results; no Sync."""
-    return parse("", sql, oids) + bind("", "", (), bound, ()) + DESCRIBE_PORTAL + execute()
+    """Parse, Bind and Execute of the unnamed statement with text parameters and text results; no Sync. The result's
+    columns are not asked for: who sends this knows them."""
+    return parse("", sql, oids) + bind("", "", (), bound, ()) + EXECUTE
 
 
 # ---- what comes back ----
@@ -88,14 +93,9 @@
     status: str
 
 
-@dataclass(slots=True, frozen=True)
-class Other:
-    """A message that says nothing to a root: completions, notices, settings."""
-    kind: str
-
-
 class ClientConnection:
-    """The reading side of a connection to a server. An unknown message is a ProtocolError."""
+    """The reading side of a connection to a server. Messages that say nothing to a root (completions, notices,
+    settings) are passed over; an unknown one is a ProtocolError."""
 
     QUIET = frozenset((b"1", b"2", b"3", b"n", b"N", b"S", b"A", b"s", b"I", b"t", b"v"))
 
@@ -106,10 +106,14 @@
         self.framer.feed(data)
 
     def next_event(self):
-        found = self.framer.next()
-        if found is None:
-            return None
-        kind, body = found
+        while True:
+            found = self.framer.next()
+            if found is None:
+                return None
+            if found[0] not in self.QUIET:
+                return self.read(*found)
+
+    def read(self, kind, body):
         if kind == b"D":
             return Row(b.read_data_row(body), len(body))
         if kind == b"C":
@@ -126,6 +130,4 @@
         if kind == b"K":
             r = Reader(body, "BackendKeyData")
             return KeyData(r.uint32(), r.uint32())
-        if kind in self.QUIET:
-            return Other(kind.decode())
         raise ProtocolError(f"message type {kind!r} is not one a server sends here")
--- a/mothnotch/pgwire/framing.py
+++ b/mothnotch/pgwire/framing.py
@@ -38,20 +38,23 @@
     def next(self):
         """The next whole message, or None; ProtocolError on a length that cannot be."""
         head = 0 if self.startup else 1
-        if self.held < head + 4:
+        buffer, at = self.buffer, self.at
+        held = len(buffer) - at
+        if held < head + 4:
             return None
-        length = INT32.unpack_from(self.buffer, self.at + head)[0]
+        length = INT32.unpack_from(buffer, at + head)[0]
         limit = STARTUP_LIMIT if self.startup else self.limit
         if length < 4 or length > limit:
-            kind = "startup packet" if self.startup else f"message {bytes(self.buffer[self.at:self.at + 1])!r}"
+            kind = "startup packet" if self.startup else f"message {bytes(buffer[at:at + 1])!r}"
             raise ProtocolError(f"{kind} states a length of {length} bytes; from 4 to {limit} are accepted",
                                 "08P01" if length < 4 or self.startup else "54000")
-        if self.held < head + length:
+        if held < head + length:
             return None
-        start = self.at + head + 4
-        kind, body = bytes(self.buffer[self.at:self.at + head]), bytes(self.buffer[start:self.at + head + length])
-        self.at += head + length
-        return kind, body
+        self.at = end = at + head + length
+        view = memoryview(buffer)
+        found = bytes(view[at:at + head]), bytes(view[at + head + 4:end])
+        view.release()
+        return found
 
 
 class Reader:
--- a/mothnotch/standins/leaf.py
+++ b/mothnotch/standins/leaf.py
@@ -366,6 +366,8 @@
             seconds = self.s.work_ms / 1000 * self.rng.uniform(0.6, 1.4)
             self.push(seconds)
         seconds = seconds * trouble.slow / self.capacity()
+        if not seconds and not trouble.hang:
+            return
         with trio.CancelScope() as session.scope:
             async with self.cores:
                 await trio.sleep(seconds)
