--- a/mothnotch/standins/client.py
+++ b/mothnotch/standins/client.py
@@ -28,12 +28,10 @@
 class ClientWire(client.ClientConnection):
     """As the root reads a leaf, but with the notices kept."""
 
-    def next_event(self):
-        at, held = self.framer.at, self.framer.held
-        if held >= 5 and self.framer.buffer[at:at + 1] == b"N":
-            found = self.framer.next()
-            return None if found is None else b.read_fields(found[1], "NoticeResponse")
-        return super().next_event()
+    QUIET = client.ClientConnection.QUIET - {b"N"}
+
+    def read(self, kind, body):
+        return b.read_fields(body, "NoticeResponse") if kind == b"N" else super().read(kind, body)
 
 
 class Client:
