--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -437,18 +437,18 @@
         breaches.plant_leaves(script.breach, day)
         return await day.run_day(roots)
 
-    try:
-        with tempfile.TemporaryDirectory(prefix="mothnotch-") as folder:
+    with tempfile.TemporaryDirectory(prefix="mothnotch-") as folder:
+        try:
             return trio.run(main, folder)
-    finally:
-        for process in processes:
-            process.terminate()
-        for process in processes:
-            try:
-                process.wait(5)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        finally:
+            for process in processes:
+                process.terminate()
+            for process in processes:
+                try:
+                    process.wait(5)
+                except subprocess.TimeoutExpired:
+                    process.kill()
+                    process.wait()
 
 
 def transcript(record):
--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -95,6 +95,46 @@
                   LeavesScript(), 0.2 if budget else None, 10, 2.0, 250.0, found)
 
 
+# Kinds of trouble of a bench day, as a socket can show them: (kind here, what `size` is).
+BENCH_KINDS = {
+    "crash": ("crash", "leaves"), "vanish": ("vanish", "leaves"), "hang": ("hang", "leaves"), "slow": ("slow", "leaves"),
+    "neighbour": ("slow", "leaves"), "heavy_tail": ("slow", "leaves"), "shared_slow": ("shared_slow", "factor"),
+    "pauses": ("pauses", "leaves"), "fast_errors": ("fast_errors", "leaves"), "class_fail": ("fast_errors", "leaves"),
+    "flapping": ("flapping", "leaves"), "deploy": ("deploy", "leaves"), "burst": ("burst", "factor"),
+    "tenant_burst": ("burst", "factor"), "hot_caller": ("burst", ""), "hot_key": ("hot_key", ""),
+    "discovery_stale": ("discovery_stale", ""), "retry_abuse": ("retry_abuse", ""), "idle_reap": ("idle_reap", "leaves"),
+    "poison": ("poison", ""), "answer_lost": ("lost_answers", "leaves"), "one_sided": ("vanish", "leaves"),
+}
+
+
+def of_bench_day(raw, seconds=20.0, leaves=8):
+    """(script, notes) of a bench day file's troubles: the same kinds, in the same order and proportion of the day,
+    over a day of `seconds` on the sample's leaves. Notes name what has no counterpart and was left out."""
+    length, troubles, notes = raw["length"], [], []
+    for n, t in enumerate(raw["troubles"]):
+        if t["kind"] not in BENCH_KINDS:
+            notes.append(f"troubles[{n}]: {t['kind']} cannot be shown over sockets here; left out")
+            continue
+        kind, size = BENCH_KINDS[t["kind"]]
+        at = max(0.1, seconds * t["at"] / length)
+        if at >= seconds:
+            notes.append(f"troubles[{n}]: {t['kind']} begins after the day's end; left out")
+            continue
+        lasts = min(seconds - at, max(0.3, seconds * t["len"] / length))
+        share, extra = float(t.get("size") or 0), float(t.get("extra") or 0)
+        made = TroubleScript(kind, round(at, 3), round(lasts, 3))
+        if size == "leaves":
+            made = msgspec.structs.replace(made, leaves=min(leaves, max(1, round(share * leaves))))
+            if kind == "slow":
+                made = msgspec.structs.replace(made, factor=max(1.5, extra))
+            elif kind in ("fast_errors", "lost_answers"):
+                made = msgspec.structs.replace(made, share=min(1.0, extra) if extra else 0.8)
+        elif size == "factor":
+            made = msgspec.structs.replace(made, factor=min(4.0, max(1.1, share)))
+        troubles.append(made)
+    return Script(seconds=seconds, roots=min(3, max(1, len(raw.get("balancers", ())))), troubles=troubles), notes
+
+
 DEFAULT = Script(
     seconds=20.0, roots=2, load=Load(rate=40.0),
     troubles=[
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -154,21 +154,30 @@
 
 
 @app.command
-def badday(script: Path | None = None, *, seed: int | None = None, virtual: bool = False, drawn: bool = False):
+def badday(script: Path | None = None, *, seed: int | None = None, virtual: bool = False, drawn: bool = False,
+           bench_day: Path | None = None, seconds: float = 20.0):
     """Play a bad day through real roots and judge the six rules; status 1 if one broke.
 
-    Without SCRIPT, the day that comes with the program; with --drawn, the one drawn from the seed. --virtual plays
-    it in memory on a virtual clock, where the same seed gives the same day.
+    Without SCRIPT, the day that comes with the program; with --drawn, the one drawn from the seed; with --bench-day,
+    the kinds of trouble of a bench day file, over a day of --seconds. --virtual plays it in memory on a virtual
+    clock, where the same seed gives the same day.
     """
     from mothnotch.audit.rules import judge, service
     from mothnotch.badday import play
     from mothnotch.badday import script as scripts
     seed = 1 if seed is None else seed
     try:
-        day = (scripts.drawn(seed) if drawn else scripts.DEFAULT if script is None
-               else scripts.load(script.read_text(encoding="utf-8"), script))
+        if bench_day is not None:
+            day, notes = scripts.of_bench_day(json.loads(bench_day.read_text(encoding="utf-8")), seconds)
+            for note in notes:
+                print(f"{bench_day}: {note}")
+        else:
+            day = (scripts.drawn(seed) if drawn else scripts.DEFAULT if script is None
+                   else scripts.load(script.read_text(encoding="utf-8"), script))
     except OSError as error:
-        failed([f"{script}: cannot be read: {error.strerror}"])
+        failed([f"{error.filename}: cannot be read: {error.strerror}"])
+    except (KeyError, TypeError, ValueError) as error:
+        failed([f"{bench_day}: not a bench day: {type(error).__name__}: {error}"])
     except ConfigError as error:
         failed(error.errors)
     record = play.play_virtual(day, seed) if virtual else play.play_sockets(day, seed)
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,99 @@
+"""The configuration is checked as a whole: each error names its path and the mend; the command line says so too."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from mothnotch import demo
+from mothnotch.config import Config, ConfigError, check, decode, load, load_roster
+
+ROOT = Path(__file__).parent.parent
+
+
+def wrong(**changes):
+    return check(decode(json.dumps({**demo.CONFIG, **changes}), Config, "c"), "c")
+
+
+@pytest.mark.parametrize("changes, named", [
+    ({"listen": ["nowhere"]}, "listen[0]"), ({"listen": []}, "listen"), ({"listen": ["0.0.0.0:1"]}, "auth.method"),
+    ({"auth": {"method": "scram-sha-256"}}, "auth.users"), ({"cells": 0}, "cells"), ({"reach": 9}, "reach"),
+    ({"ranges": {}}, "ranges"), ({"ranges": {"bounds": [3, 2]}}, "ranges.bounds"),
+    ({"ranges": {"from": 0, "to": 3, "count": 9}}, "ranges.count"),
+    ({"tables": {"t": {"shard_by": "x", "columns": {"a": "int4"}}}}, "tables.t.shard_by"),
+    ({"tables": {"t": {"shard_by": "a", "columns": {"a": "text"}}}}, "tables.t.shard_by"),
+    ({"tables": {"t": {"shard_by": "a", "columns": {"a": "int4", "b": "point"}}}}, "tables.t.columns.b"),
+    ({"classes": {"a": {"aim_ms": 9, "deadline_ms": 5, "default": True}}}, "classes.a.aim_ms"),
+    ({"classes": {"a": {"aim_ms": 1, "deadline_ms": 5, "default": True, "floor": 0.5}}}, "classes.a.default"),
+    ({"classes": {"a": {"aim_ms": 1, "deadline_ms": 5, "repeat": "keyed", "default": True}}}, "classes.a.repeat_window_ms"),
+    ({"root": {"roots": 2, "me": 2}}, "root.me"), ({"rules": {"budget_share": 0.1}}, "rules.budget_window_s"),
+])
+def test_every_error_names_its_path(changes, named):
+    assert any(line.startswith(f"c: {named}:") for line in wrong(**changes)), wrong(**changes)
+
+
+def test_the_demo_is_sound_and_settings_come_out_whole():
+    assert wrong() == []
+    settings = demo.config().settings()
+    hold = settings.classes["hold-set"]
+    assert hold.repeat.value == "keyed" and hold.repeat_window_us == 1_200_000 and settings.cells == 8
+    assert demo.config().bounds()[:3] == (0, 100, 200)
+
+
+@pytest.mark.parametrize("text, said", [
+    ("{", "not JSON5"), ("{listen: 3}", "listen"), ('{"cells": "x"}', "cells"), ("{surplus: 1}", "surplus"),
+    ("{classes: {a: {aim_ms: 'x'}}}", "classes"),
+])
+def test_unreadable_texts_say_where(text, said):
+    with pytest.raises(ConfigError) as caught:
+        decode(text, Config, "c")
+    assert said in str(caught.value)
+
+
+def test_missing_and_binary_files_are_errors(tmp_path):
+    for name, raw in (("none", None), ("binary", b"\xff\xfe\x00")):
+        if raw is not None:
+            (tmp_path / name).write_bytes(raw)
+        with pytest.raises(ConfigError, match="cannot be read"):
+            load(tmp_path / name)
+    with pytest.raises(ConfigError):
+        load_roster("[{name: 'a', address: 'x', cell: 77}]", 8)
+
+
+def cli(*words, **options):
+    return subprocess.run([sys.executable, "-m", "mothnotch", *words], capture_output=True, text=True, timeout=60, **options)
+
+
+def test_check_and_serve_name_errors_with_status_2(tmp_path):
+    path = tmp_path / "root.json5"
+    path.write_text(cli("example").stdout)
+    done = cli("check", str(path))
+    assert done.returncode == 2 and "roster" in done.stderr
+    (tmp_path / "roster.json5").write_text("[{name: 'leaf-0', address: '127.0.0.1:1', cell: 0}]  // one leaf")
+    done = cli("check", str(path))
+    assert done.returncode == 0 and "24 ranges" in done.stdout
+    path.write_text(path.read_text().replace('"reach": 2', '"reach": 12'))
+    done = cli("serve", "--config", str(path))
+    assert done.returncode == 2 and "reach: must be between 1 and cells" in done.stderr
+
+
+def test_demo_serves_and_ends_with_its_leaves_at_a_signal():
+    process = subprocess.Popen([sys.executable, "-m", "mothnotch", "demo", "--rows", "5"], stdout=subprocess.PIPE, text=True,
+                               env={**os.environ, "PYTHONPATH": str(ROOT)})
+    try:
+        line = process.stdout.readline()
+        assert "postgresql://" in line
+        import psycopg
+        with psycopg.connect(line.split()[0], autocommit=True) as c:
+            assert c.execute("SELECT count(*) FROM stock").fetchone() == (120,)
+        children = Path(f"/proc/{process.pid}/task/{process.pid}/children").read_text().split()
+        begun = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(5) == 0 and time.monotonic() - begun < 5
+        assert children and not [pid for pid in children if Path(f"/proc/{pid}").exists()]
+    finally:
+        process.kill()
--- /dev/null
+++ b/tests/test_decisions_beside.py
@@ -0,0 +1,142 @@
+"""The pure decisions beside the module: outcomes, requests, transactions, the roster; and the bench day's translation."""
+import pytest
+
+from mothnotch.badday.script import KINDS, of_bench_day
+from mothnotch.decisions import interface as i
+from mothnotch.decisions import outcomes, requests, roster, transactions
+from mothnotch.decisions.outcomes import Fault
+from mothnotch.decisions.roster import Leaf
+
+
+@pytest.mark.parametrize("sqlstate, fault, result", [
+    ("53300", Fault.SERVER, i.Result.REJECTED), ("57P03", Fault.SERVER, i.Result.REJECTED),
+    ("25006", Fault.SERVER, i.Result.REJECTED), ("MN001", Fault.SERVER, i.Result.REJECTED),
+    ("53100", Fault.SERVER, i.Result.ERROR), ("XX000", Fault.SERVER, i.Result.ERROR),
+    ("40P01", Fault.SERVER, i.Result.ERROR), ("57014", Fault.SERVER, i.Result.ERROR),
+    ("22012", Fault.QUERY, i.Result.OK), ("42703", Fault.QUERY, i.Result.OK), ("23505", Fault.QUERY, i.Result.OK),
+])
+def test_whose_fault_an_error_is(sqlstate, fault, result):
+    assert outcomes.of_error(sqlstate) == (fault, result)
+
+
+def test_before_commit_everything_is_proven_not_to_have_run():
+    assert all(outcomes.before_commit(result) in i.NEVER_RAN for result in i.Result)
+    assert outcomes.before_commit(i.Result.REJECTED) is i.Result.REJECTED
+
+
+def test_what_clients_are_told():
+    sqlstate, _, detail, hint = outcomes.refusal(300_001)
+    assert (sqlstate, detail) == ("53000", "retry_after_ms=301") and "301 ms" in hint
+    assert outcomes.refusal(0)[3] == ""
+    assert outcomes.failure(True, True)[0] == "08007" and outcomes.failure(True, False)[0] == "40003"
+    assert outcomes.failure(True, True, may_have_run=False)[0] == "57014" == outcomes.failure(False, False)[0]
+
+
+CLASSES = {"search": (False, False), "lookup": (False, True), "hold": (True, True)}
+
+
+def test_a_write_never_goes_under_a_class_for_reads():
+    assert requests.class_of(CLASSES, None, False) == "lookup"
+    assert requests.class_of(CLASSES, "search", False) == "search"
+    assert requests.class_of(CLASSES, "search", True) == "hold"
+    assert requests.class_of(CLASSES, "hold", False) == "lookup"
+    with pytest.raises(requests.Unclassed):
+        requests.class_of(CLASSES, "nope", False)
+    with pytest.raises(requests.Unclassed):
+        requests.class_of({"hold": (True, True)}, None, False)
+
+
+def test_time_and_weights():
+    assert requests.time_of(1000, 0) == 1000 and requests.time_of(1000, 400) == 400 and requests.time_of(1000, 4000) == 1000
+    assert requests.weights([1, 2, 3, 4]) == [0.25] * 4
+    assert requests.weights([1, 2], {1: 3, 2: 1}.get) == [0.75, 0.25]
+    assert sum(requests.weights(range(3), lambda s: 0)) == pytest.approx(1)
+
+
+def test_costs_stay_near_the_least_and_bounded():
+    costs = requests.Costs(size=6)
+    assert costs.hint("a", "k") is None
+    costs.took("a", "k", 1000)
+    for _ in range(20):
+        costs.took("a", "k", 50_000)                # queueing is not work
+    assert 1000 <= costs.hint("a", "k") < 15_000
+    for _ in range(8):
+        costs.took("a", "k", 1000)
+    assert costs.hint("a", "k") < 1100
+    assert costs.hint("new", "k") == costs.hint("a", "k")
+    for n in range(50):
+        costs.took(n, "k", 10)
+    assert len(costs.least) == 6 and "k" in costs.least
+
+
+def test_transactions_hold_one_range():
+    tx = transactions.Transaction(most=3)
+    with pytest.raises(transactions.Refused):
+        tx.save("a")
+    tx.begin()
+    tx.check_write(4, False)
+    tx.keep("w1", 1, None, 4, "holds")
+    for shard, returning in ((5, False), (4, True)):
+        with pytest.raises(transactions.Refused):
+            tx.check_write(shard, returning)
+    with pytest.raises(transactions.Refused, match="holds"):
+        tx.check_read(["stock", "holds"])
+    tx.check_read(["stock"])
+    tx.save("a")
+    tx.keep("w2", 1, None, 4, "stock")
+    tx.error()
+    with pytest.raises(transactions.Refused):
+        tx.check_any()
+    tx.back_to("a")
+    assert tx.status is transactions.Status.OPEN and len(tx.writes) == 1 and tx.tables == {"holds"}
+    tx.release("a")
+    with pytest.raises(transactions.Refused, match="does not exist"):
+        tx.back_to("a")
+    tx.keep("w3", 1, None, 4, "stock")
+    tx.keep("w4", 1, None, 4, "stock")
+    with pytest.raises(transactions.Refused, match="3 writes at most"):
+        tx.check_write(4, False)
+    tx.reset()
+    assert tx.status is transactions.Status.IDLE and not tx.writes and tx.shard is None
+    tx.begin(read_only=True)
+    with pytest.raises(transactions.Refused) as caught:
+        tx.check_write(4, False)
+    assert caught.value.sqlstate == "25006"
+
+
+def test_counts_must_agree_with_what_was_told():
+    assert transactions.agrees([1, None], [1, 7]) and not transactions.agrees([1, 2], [1, 3])
+
+
+def test_roster_errors_name_the_leaf():
+    good = [Leaf("a", "h:1", "z", 0), Leaf("b", "h:2", "z", 1, "draining")]
+    assert roster.checked(good, 2) == []
+    errors = roster.checked([*good, Leaf("a", "h:3", "z", 9, "odd", 0)], 2)
+    assert len(errors) == 4 and all("'a'" in e for e in errors)
+
+
+def test_a_roster_that_names_nobody_does_not_take_the_fleet_away():
+    up = [Leaf("a", "h:1", "z", 0)]
+    assert roster.shrunk(up, []) and roster.shrunk(up, [Leaf("a", "h:1", "z", 0, "removed")])
+    assert not roster.shrunk(up, [Leaf("a", "h:1", "z", 0, "draining")]) and not roster.shrunk([], [])
+
+
+def test_start_times_move_to_the_roots_clock():
+    leaves = [Leaf("old", "h:1", "z", 0, started=None), Leaf("new", "h:2", "z", 0, started=990.0),
+              Leaf("future", "h:3", "z", 0, started=1010.0), Leaf("before", "h:4", "z", 0, started=1.0)]
+    found = {e.server: e.started_us for e in roster.news(leaves, 1, 60_000_000, 1000.0).entries}
+    assert found == {"old": 0, "new": 50_000_000, "future": 60_000_000, "before": 0}
+
+
+def test_bench_day_becomes_a_script():
+    day = {"length": 40_000_000, "balancers": [0] * 9, "troubles": [
+        {"kind": "slow", "at": 10_000_000, "len": 8_000_000, "size": 0.25, "extra": 6.0},
+        {"kind": "burst", "at": 20_000_000, "len": 2_000_000, "size": 1.6, "extra": 0.4},
+        {"kind": "answer_lost", "at": 30_000_000, "len": 90_000_000, "size": 0.5, "extra": 0.3},
+        {"kind": "report_late", "at": 1, "len": 1}, {"kind": "hang", "at": 50_000_000, "len": 1, "size": 0.1}]}
+    script, notes = of_bench_day(day, 20.0)
+    assert [(t.kind, t.at, t.lasts) for t in script.troubles] == [("slow", 5.0, 4.0), ("burst", 10.0, 1.0),
+                                                                  ("lost_answers", 15.0, 5.0)]
+    assert (script.troubles[0].leaves, script.troubles[0].factor, script.troubles[1].factor) == (2, 6.0, 1.6)
+    assert script.troubles[2].share == 0.3 and script.roots == 3 and len(notes) == 2
+    assert all(t.kind in KINDS for t in script.troubles)
