--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -260,10 +260,8 @@
         pieces = self.front.service.planner.split(event.sql)
         if not pieces:
             self.out += b.EMPTY_QUERY
-        plans = []
-        for piece in pieces:
-            # Each is planned when its turn comes, but for several: a bad one must not follow on effects of others.
-            plans.append(self.front.service.planner.plan(piece))
+        # All are planned before the first runs: a bad one must not follow on the effects of others.
+        plans = [self.front.service.planner.plan(piece) for piece in pieces]
         self.check_together(plans)
         for plan in plans:
             if plan.oids:
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -12,6 +12,7 @@
 import psycopg
 import pytest
 import sqlalchemy as sa
+from sqlalchemy.ext.asyncio import create_async_engine
 
 from tests.fleet import running
 
@@ -251,6 +252,20 @@
     engine.dispose()
 
 
+def test_sqlalchemy_over_asyncpg(run):
+    async def use():
+        engine = create_async_engine(run.url().replace("postgresql", "postgresql+asyncpg"))
+        async with engine.begin() as c:
+            found = (await c.execute(sa.text("SELECT count(*) FROM stock WHERE bin < :most"), {"most": 700})).scalar()
+            await c.execute(sa.text("INSERT INTO holds VALUES (1600, 'saa', 'x', 1)"))
+        async with engine.connect() as c:
+            assert (await c.execute(sa.text("SELECT qty FROM holds WHERE bin = 1600"))).scalars().all() == [1]
+        await engine.dispose()
+        return found
+
+    assert asyncio.run(use()) == expected(run, "SELECT count(*) FROM stock WHERE bin < 700")[0][0]
+
+
 @pytest.mark.skipif(shutil.which("psql") is None, reason="no psql here")
 def test_psql(run):
     done = subprocess.run(["psql", run.url(), "-At", "-c", "SELECT count(*) FROM stock", "-c", "\\conninfo", "-c", "BEGIN",
