Literals are lifted so that statements alike share a plan; long texts are read beside the loop

Change: literals become parameters where that means the same, else the text is planned as it came; texts over 512 characters without a kept plan are read in a thread, over 64 KB refused (54000); an unexpected error costs one statement or one connection and is logged.

--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -241,11 +241,20 @@
             elif kind is not wire.CopyData:
                 try:
                     await handlers[kind](event)
+                except (OSError, trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError):
+                    raise
                 except SqlError as error:
                     self.session.transaction.error()
                     self.error(error, kind is not wire.Query)
                     if kind is wire.Query:
                         self.out += self.ready()
+                except Exception as error:
+                    # A defect of the root's must cost one statement, not every client of this root.
+                    self.front.log.error("unexpected error", error=repr(error), exc_info=True)
+                    self.session.transaction.error()
+                    self.error(SqlError("XX000", f"internal error: {type(error).__name__}"), kind is not wire.Query)
+                    if kind is wire.Query:
+                        self.out += self.ready()
             if len(self.out) > CHUNK:
                 await self.flush()
             if kind is wire.Sync or kind is wire.Query:
@@ -261,12 +270,12 @@
         if not pieces:
             self.out += b.EMPTY_QUERY
         # All are planned before the first runs: a bad one must not follow on the effects of others.
-        plans = [self.front.service.planner.plan(piece) for piece in pieces]
-        self.check_together(plans)
-        for plan in plans:
-            if plan.oids:
+        plans = [await self.planned(self.front.service.planner.plan_text, piece) for piece in pieces]
+        self.check_together([plan for plan, _ in plans])
+        for plan, values in plans:
+            if len(plan.oids) != len(values):
                 raise SqlError("42P02", "there is no parameter $1")
-            answer = await self.session.execute(plan, ())
+            answer = await self.session.execute(plan, values)
             self.ran(plan, answer)
             if answer.rows is not None:
                 self.out += b.row_description([column(name, oid) for name, oid in plan.columns])
@@ -275,6 +284,12 @@
         self.session.synced()
         self.out += self.ready()
 
+    async def planned(self, plan, text, *declared):
+        """A plan; a long text is read beside the loop, as the parser would hold up everybody for its time."""
+        if self.front.service.planner.cheap(text, *declared):
+            return plan(text, *declared)
+        return await self.front.network.work(plan, text, *declared)
+
     def check_together(self, plans):
         """Several statements in one query text are one transaction to PostgreSQL: a write among them, outside of
         an explicit block, could not be undone with the others."""
@@ -315,7 +330,7 @@
             raise SqlError("42601", "cannot insert multiple commands into a prepared statement")
         if event.name and event.name in self.statements:
             raise SqlError("42P05", f'prepared statement "{event.name}" already exists')
-        plan = self.front.service.planner.plan(pieces[0], tuple(event.oids)) if pieces else None
+        plan = (await self.planned(self.front.service.planner.plan, pieces[0], tuple(event.oids))) if pieces else None
         if event.name and len(self.statements) >= self.front.config.front.prepared:
             raise SqlError("53000", f"a session keeps {self.front.config.front.prepared} prepared statements at most",
                            "Close those not needed (DEALLOCATE).")
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -213,6 +213,9 @@
             pass
         except (ProtocolError, ValueError, LookupError) as error:
             self.log.warning("leaf broke the protocol", leaf=connection.leaf.name, error=str(error))
+        except Exception as error:
+            # A defect of the root's must cost this connection's calls, not every client of this root.
+            self.log.error("unexpected error", leaf=connection.leaf.name, error=repr(error), exc_info=True)
         self.lost(connection)
 
     def take(self, connection):
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -31,6 +31,9 @@
 class SocketNetwork:
     """Real sockets, real time."""
 
+    def __init__(self, threads=2):
+        self.limiter = trio.CapacityLimiter(threads)
+
     def wall(self):
         """Seconds of the wall clock."""
         return time.time()
@@ -57,6 +60,10 @@
         found = listener.socket.getsockname()
         return f"unix:{found}" if isinstance(found, str) else f"{found[0]}:{found[1]}"
 
+    async def work(self, function, *args):
+        """Runs something that computes for long in a thread, a few at a time; a cancel leaves it to itself."""
+        return await trio.to_thread.run_sync(function, *args, limiter=self.limiter, abandon_on_cancel=True)
+
     def send_now(self, stream, data):
         """Sends what the socket takes at once; gives how many bytes that was. Not while a `send_all` runs."""
         try:
@@ -209,6 +216,10 @@
     def name(self, listener):
         return listener.address
 
+    async def work(self, function, *args):
+        await trio.lowlevel.checkpoint()
+        return function(*args)
+
     def send_now(self, stream, data):
         return stream.send_now(data)
 
--- a/mothnotch/sql/plan.py
+++ b/mothnotch/sql/plan.py
@@ -16,10 +16,12 @@
 from mothnotch.sql.dialect import Dialect
 from mothnotch.sql.errors import SqlError, unsupported
 from mothnotch.sql.evaluate import converted
+from mothnotch.sql.lift import lift
 from mothnotch.sql.typer import AGGREGATES, Scope, Typer, cast_type, check, construct, folded, parameter
 
 LITERAL = re.compile(r"'(?:[^']|'')*'|(?<![\w$])\d+(?:\.\d+)?")
-MOST_TEXT = 1 << 20               # the longest statement read, in characters
+MOST_TEXT = 1 << 16               # the longest statement read, in characters
+CHEAP_TEXT = 512                  # up to here the parser is quick enough to hold nobody up
 MOST_TABLES = 8
 
 
@@ -144,6 +146,7 @@
     def __init__(self, schema, size=512):
         self.schema, self.size, self.cache = schema, size, OrderedDict()
         self.hits = self.misses = 0
+        self.unfit = set()              # shapes that cannot be planned with their literals lifted
 
     def split(self, text):
         """The statements of a simple query, as texts. SqlError on what cannot be read."""
@@ -178,6 +181,31 @@
                 self.cache.popitem(last=False)
         return plan
 
+    def plan_text(self, text):
+        """(plan, values) of a statement that carries its values in its text: with the plan of those alike."""
+        lifted = lift(text) if (text, ()) not in self.cache else None
+        if lifted is None:
+            return self.plan(text), ()
+        shape, oids, values = lifted
+        if (shape, oids) in self.unfit:
+            return self.plan(text), ()
+        try:
+            plan = self.plan(shape, oids)
+            return plan, tuple(value if oid else t.from_text(known, value)
+                               for oid, known, value in zip(oids, plan.oids, values, strict=True))
+        except SqlError:
+            # As it came it may be right; or its error names what the client wrote.
+            if len(self.unfit) >= self.size:
+                self.unfit.clear()
+            self.unfit.add((shape, oids))
+        except (t.BadValue, ValueError):
+            pass
+        return self.plan(text), ()
+
+    def cheap(self, text, declared=()):
+        """Whether planning it takes no time to speak of: it is short, or its plan is kept."""
+        return len(text) <= CHEAP_TEXT or (text, declared) in self.cache
+
     def make(self, text, declared):
         if len(text) > MOST_TEXT:
             raise SqlError("54000", f"statement of {len(text)} characters; {MOST_TEXT} at most are read")
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -1,6 +1,7 @@
 """Bad input at the root's door: a clear error, bounded memory, other clients untouched."""
 import random
 import struct
+import threading
 
 import psycopg
 import pytest
@@ -92,8 +93,8 @@
             reply = await c.reply()
             assert (reply.error is None) == (n < 16)
         assert reply.error.sqlstate == "53000"
-        reply = await c.query("SELECT '" + "x" * 1_048_570 + "'")
-        assert reply.error is None or reply.error.sqlstate == "54000"
+        reply = await c.query("SELECT '" + "x" * 70_000 + "'")
+        assert reply.error.sqlstate == "54000" and "65536 at most" in reply.error.text
         for n in range(700):
             await c.query(f"SELECT {n}")
         assert len(world.root.service.planner.cache) <= 512
@@ -114,6 +115,46 @@
     play(test)
 
 
+def test_defect_in_a_statement_costs_that_statement_only():
+    async def test(world):
+        c = await world.client()
+
+        def broken(text):
+            raise KeyError("a defect")
+
+        world.root.service.planner.plan_text = broken
+        reply = await c.query("SELECT 1")
+        assert reply.error.sqlstate == "XX000" and reply.status == "I"
+        del world.root.service.planner.plan_text
+        assert (await c.query("SELECT 1")).rows == [[b"1"]]
+
+    play(test)
+
+
+def test_long_statements_are_read_beside_the_loop():
+    """A statement that takes the parser a second must not hold up others: their answers come meanwhile."""
+    with running() as run:
+        with psycopg.connect(run.url(), autocommit=True) as slow, psycopg.connect(run.url(), autocommit=True) as quick:
+            quick.execute("SELECT count(*) FROM stock")
+            text = f"SELECT nope FROM stock WHERE qty IN ({','.join(map(str, range(11_000)))})"
+            found = []
+
+            def read():
+                try:
+                    slow.execute(text)
+                except psycopg.errors.UndefinedColumn as error:
+                    found.append(error)
+
+            worker = threading.Thread(target=read)
+            worker.start()
+            answers = 0
+            while worker.is_alive():
+                quick.execute("SELECT count(*) FROM stock WHERE bin < 100")
+                answers += 1
+            worker.join()
+            assert answers >= 5 and found
+
+
 def test_extended_protocol_misuse_is_named():
     async def test(world):
         c = await world.client()
--- a/tests/test_sql_differential.py
+++ b/tests/test_sql_differential.py
@@ -20,8 +20,9 @@
 
 
 def split(sql, parameters=()):
-    """What the root gives: (plan, rows in text format)."""
-    plan = PLANNER.plan(sql)
+    """What the root gives: (plan, rows in text format). A text that carries its values goes the way of a simple
+    query, its literals lifted."""
+    plan, parameters = (PLANNER.plan(sql), parameters) if parameters else PLANNER.plan_text(sql)
     parts = []
     for shard in plan.shards(SCHEMA, parameters):
         values = [v if v is None else v.decode() for v in plan.values(parameters)]
@@ -211,6 +212,41 @@
             assert ours == unsharded(sql, (*values, 10)), (sql, values)
 
 
+def test_texts_alike_but_for_their_values_share_a_plan():
+    planner = Planner(SCHEMA)
+    for n in range(50):
+        plan, values = planner.plan_text(f"SELECT item, qty + 1 FROM stock WHERE bin = {n} AND item = 'it''s {n}' "
+                                         f"AND best_before > '2026-01-{n % 28 + 1:02d}' ORDER BY 1 LIMIT {n + 5}")
+        assert plan.shards(SCHEMA, values) == [0] and f"it's {n}" in values
+        assert plan.gather.limits(values) == (0, n + 5)
+    assert len(planner.cache) <= 3 and planner.misses <= 3          # 1 and 5 may be equal to another literal
+
+
+@pytest.mark.parametrize("sql", [
+    "SELECT item FROM stock WHERE best_before = DATE '2026-01-01'", "SELECT item FROM stock GROUP BY item ORDER BY 1",
+    "SELECT qty + 1, count(*) FROM stock GROUP BY qty + 1",
+    "SELECT qty::text || 'a' FROM stock ORDER BY 1 FETCH FIRST 3 ROWS ONLY",
+    "SELECT CASE WHEN qty > 3 THEN 'a' ELSE 'b' END, count(*) FROM stock GROUP BY 1 ORDER BY 1",
+    "SELECT -5 + qty FROM stock WHERE bin > -3 ORDER BY 1 LIMIT 4", "SELECT 'a', 1.50 + qty FROM stock ORDER BY 2 LIMIT 2",
+])
+def test_lifting_changes_no_answer(sql):
+    plan = PLANNER.plan(sql)
+    lifted, values = PLANNER.plan_text(sql)
+    assert [oid for _, oid in lifted.columns] == [oid for _, oid in plan.columns]
+    assert [name for name, _ in lifted.columns] == [name for name, _ in plan.columns]
+    assert lifted.shards(SCHEMA, values) == plan.shards(SCHEMA, ()) or "-3" in sql
+    assert split(sql)[1] == gather_plain(sql)
+
+
+def gather_plain(sql):
+    plan = PLANNER.plan(sql)
+    parts = []
+    for shard in plan.shards(SCHEMA, ()):
+        extra = [sum(plan.gather.limits(()))] if plan.limited else []
+        parts.append([list(row) for row in STORE.run(shard, plan.sql, [*SCHEMA.range(shard), *extra])[1]])
+    return gather(plan, parts, ())
+
+
 def test_pruning_asks_few_ranges():
     assert PLANNER.plan("SELECT item FROM stock WHERE bin = 250").shards(SCHEMA, ()) == [2]
     assert PLANNER.plan("SELECT item FROM stock WHERE bin > 199 AND bin < 400").shards(SCHEMA, ()) == [2, 3]
