A part whose query ended while its connection was made is not sent with the rest of its call

Two queries' parts shared a call whose connection was being made; one client left, and the call still sent both. Change: a call sends what is still waited for. Measured: the new test fails without the mend and passes with it.

--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -80,6 +80,8 @@
         self.attempts, self.at, self.error, self.rows, self.over = attempts, 0, None, Rows(), False
 
     def begin(self):
+        # Guards against a part whose query has ended while the connection was made: nothing of it may go out.
+        self.attempts = [a for a in self.attempts if not a.ended]
         return b"".join(client.statement(a.payload.tag + a.payload.statement.sql, a.payload.statement.oids,
                                          a.payload.statement.values) + client.SYNC for a in self.attempts)
 
--- a/tests/test_root_faults.py
+++ b/tests/test_root_faults.py
@@ -247,6 +247,28 @@
     play(test)
 
 
+def test_part_of_a_client_that_left_is_not_sent_with_the_rest_of_its_call():
+    async def test(world):
+        one, other = await world.client(), await world.client()
+        opened = world.network.open
+
+        async def open_slowly(address):
+            await trio.sleep(0.5)
+            return await opened(address)
+
+        world.network.open = open_slowly
+        sql = "SELECT count(*) FROM stock WHERE item <> $1"
+        for c, name in ((one, b"id:one"), (other, b"id:other")):
+            await c.send(wire.statement(sql, (), (name,)) + wire.SYNC)
+        await trio.sleep(0.1)
+        one.close()
+        assert (await other.reply()).rows == [[b"240"]]
+        await trio.sleep(2)
+        assert not [s for s in world.arrived("stock") if "id:one" in s.values]
+
+    play(test)
+
+
 def test_connection_to_an_old_address_is_not_kept_for_the_new_one():
     async def test(world):
         c = await world.client()
