Dead code goes; the classes' kinds are worked out once a root, not once a request

Change: unused arguments, exports and a message no one sent are gone; a dictionary built for each request is built at the start; troubles are undone from one sound record. No behaviour changes. Measured: drivers, codec, configuration, faults, bad input, planted breaches and the transcript test pass (110 tests).

--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -93,8 +93,6 @@
 def double(root):
     """Answers every eighth statement twice."""
     from mothnotch.fronts import pg
-    serve = root.front.client
-
     async def client(stream):
         made = pg.Client(root.front, stream)
         run, count = made.on_execute, [0]
@@ -109,7 +107,6 @@
         made.on_execute = twice
         await made.run()
 
-    del serve
     root.front.client = client
 
 
--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -20,7 +20,7 @@
 from mothnotch.daemon import Root
 from mothnotch.root.roster import MemoryRoster
 from mothnotch.standins.client import Client, Lost
-from mothnotch.standins.leaf import Fleet
+from mothnotch.standins.leaf import Fleet, Trouble
 
 LOOKUP = ("SELECT count(*), coalesce(sum(qty), 0) FROM orders WHERE bin >= $1::int AND bin < $2::int AND order_id <> $3")
 SEARCH = "SELECT count(*), coalesce(sum(qty), 0) FROM stock WHERE item <> $1"
@@ -106,9 +106,10 @@
             for key, value in changes.items():
                 setattr(leaf.trouble, key, value)
         await trio.sleep(t.lasts)
+        sound = Trouble()
         for leaf in self.each(names):
             for key in changes:
-                setattr(leaf.trouble, key, type(leaf.trouble)().__getattribute__(key))
+                setattr(leaf.trouble, key, getattr(sound, key))
 
     async def do_hang(self, t, names):
         await self.during(t, names, hang=True)
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -20,7 +20,7 @@
                    "to every query.", version_flags=["--version"])
 
 
-async def until_signal(scope, quiet=False):
+async def until_signal(scope):
     """Cancels a scope at SIGINT or SIGTERM."""
     with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
         async for _ in signals:
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from mothnotch.fronts.session import DEFAULTS, FIXED, REPORTED, Session, duration_ms
+from mothnotch.fronts.session import REPORTED, Session, duration_ms
 from mothnotch.net import serve, shut
 from mothnotch.pgwire import auth
 from mothnotch.pgwire import backend as b
@@ -447,5 +447,3 @@
     async def run(self, listeners, nursery):
         await serve(listeners, self.client, nursery, self.config.front.most_connections, self.turn_away)
 
-
-__all__ = ["PgFront", "DEFAULTS", "FIXED"]
--- a/mothnotch/fronts/session.py
+++ b/mothnotch/fronts/session.py
@@ -62,6 +62,10 @@
     name: str                                  # tells this run of this root from every other: begins each key
     keys: object = field(default_factory=lambda: itertools.count(1))
     costs: object = field(default_factory=requests.Costs)
+    kinds: dict = field(init=False)            # class -> (takes writes, is default)
+
+    def __post_init__(self):
+        self.kinds = self.config.class_kinds()
 
 
 def duration_ms(text):
@@ -243,9 +247,9 @@
     # ---- requests ----
 
     def class_for(self, writes):
-        return requests.class_of(self.service.config.class_kinds(), self.settings["mothnotch.class"] or None, writes)
+        return requests.class_of(self.service.kinds, self.settings["mothnotch.class"] or None, writes)
 
-    async def ask(self, kind, parts, key, cap=True):
+    async def ask(self, kind, parts, key):
         """One request through the core, within the client's time; a cancel ends it with 57014 or, for a write,
         40003."""
         service, c = self.service, self.service.config.classes[kind]
--- a/mothnotch/pgwire/backend.py
+++ b/mothnotch/pgwire/backend.py
@@ -102,10 +102,6 @@
     return _fields(b"N", fields)
 
 
-def copy_in_response():
-    return message(b"G", b"\0\0\0")
-
-
 # ---- reading, at the client's side ----
 
 def read_fields(body, what="ErrorResponse"):
--- a/mothnotch/pgwire/server.py
+++ b/mothnotch/pgwire/server.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from mothnotch.pgwire import backend as b
-from mothnotch.pgwire.framing import INT32, Framer, ProtocolError, Reader
+from mothnotch.pgwire.framing import Framer, ProtocolError, Reader
 
 PROTOCOL_3, CANCEL, SSL, GSSENC = 196608, 80877102, 80877103, 80877104
 NEWEST_MINOR = 0
@@ -271,5 +271,3 @@
     pid, secret = struct.unpack("!II", raw)
     return pid & 0x7FFFFFFF, secret
 
-
-__all__ = ["INT32", "ServerConnection", "ProtocolError"]
--- a/mothnotch/sql/plan.py
+++ b/mothnotch/sql/plan.py
@@ -383,10 +383,10 @@
         own = exp.and_(exp.GTE(this=column.copy(), expression=low), exp.LT(this=column.copy(), expression=high))
         return exp.Where(this=own if where is None else exp.and_(exp.paren(where, copy=False), own, copy=False))
 
-    def star(self, skip=()):
+    def star(self):
         return [exp.column(name, alias) for alias, table in self.scope.tables.items() for name in table.columns]
 
-    def expand(self, expressions, stars=True):
+    def expand(self, expressions):
         """The expressions of a SELECT or RETURNING list, stars opened, each with its name."""
         out = []
         for node in expressions:
