--- /dev/null
+++ b/mothnotch/__main__.py
@@ -0,0 +1,4 @@
+"""`python -m mothnotch`: the command line."""
+from mothnotch.cli import main
+
+main()
--- /dev/null
+++ b/mothnotch/cli.py
@@ -0,0 +1,160 @@
+"""The command line: demo, serve, check, badday, bench."""
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import cyclopts
+import trio
+
+from mothnotch import demo as demo_fleet
+from mothnotch import logs, net
+from mothnotch.config import ConfigError, load, load_roster
+from mothnotch.daemon import Root, cpu_time
+
+app = cyclopts.App(name="mothnotch", help="A root for sharded tables: SQL over the PostgreSQL wire, one final answer "
+                   "to every query.", version_flags=["--version"])
+
+
+async def until_signal(scope, quiet=False):
+    """Cancels a scope at SIGINT or SIGTERM."""
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async for _ in signals:
+            scope.cancel()
+            return
+
+
+def failed(errors):
+    for line in errors:
+        print(line, file=sys.stderr)
+    sys.exit(2)
+
+
+def loaded(path):
+    """The configuration and its roster, checked; status 2 with each error on a line."""
+    try:
+        config = load(path)
+    except ConfigError as error:
+        failed(error.errors)
+    try:
+        load_roster(Path(config.roster).read_text(encoding="utf-8"), config.cells, config.roster)
+    except OSError as error:
+        failed([f"{config.roster}: cannot be read: {error.strerror}; name the roster in {path}: roster"])
+    except ConfigError as error:
+        failed(error.errors)
+    return config
+
+
+@app.command
+def check(config: Path):
+    """Check a configuration and its roster; status 2 and each error on a line if anything is wrong."""
+    found = loaded(config)
+    print(f"{config}: {len(found.tables)} tables, {len(found.bounds()) - 1} ranges, {len(found.classes)} classes: sound")
+
+
+@app.command
+def serve(*, config: Path):
+    """Run a root until SIGINT or SIGTERM."""
+    found = loaded(config)
+    log = logs.logger(found.log.format, found.log.level)
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(until_signal, nursery.cancel_scope)
+            root = await nursery.start(Root(found, net.SocketNetwork(), log, cpu=cpu_time).run)
+            print(f"serving {' '.join('postgresql://' + a for a in root.addresses)}", flush=True)
+
+    try:
+        trio.run(run)
+    except* OSError as group:
+        failed([f"{config}: cannot listen: {error}" for error in group.exceptions])
+
+
+@app.command
+def leaves(*, roster: Path, listen: str = "127.0.0.1", seed: int = 1, rows: int = 250, work_ms: float = 2.0,
+           parent: int = 0):
+    """Run the demo's stand-in leaves, writing their roster file. Ends with its parent, if one is named."""
+    from mothnotch.standins.leaf import Fleet
+
+    async def watch(scope):
+        while os.getppid() == parent:
+            await trio.sleep(0.5)
+        scope.cancel()
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(until_signal, nursery.cancel_scope)
+            if parent:
+                nursery.start_soon(watch, nursery.cancel_scope)
+            _, made = demo_fleet.leaves(net.SocketNetwork(), lambda seen: None, seed=seed, rows=rows,
+                                        address=f"{listen}:0", work_ms=work_ms)
+            fleet = Fleet(made, nursery)
+            await fleet.start()
+            whole = roster.with_suffix(".new")
+            whole.write_text(demo_fleet.roster_text(fleet))
+            whole.rename(roster)
+
+    trio.run(run)
+
+
+@contextlib.contextmanager
+def leaf_processes(folder, **options):
+    """Stand-in leaves in a process of their own, ended with the block; gives the roster file once it is there."""
+    roster = Path(folder) / "roster.json5"
+    words = [sys.executable, "-m", "mothnotch", "leaves", "--roster", str(roster), "--parent", str(os.getpid())]
+    for name, value in options.items():
+        words += [f"--{name.replace('_', '-')}", str(value)]
+    process = subprocess.Popen(words, stdin=subprocess.DEVNULL, start_new_session=True)
+    try:
+        yield roster, process
+    finally:
+        process.terminate()
+        try:
+            process.wait(3)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+@app.command
+def demo(*, listen: str = "127.0.0.1:0", seed: int = 1, rows: int = 250, work_ms: float = 2.0):
+    """Stand-in leaves and a root on loopback, with sample tables; prints postgresql://... once it serves."""
+    try:
+        found = demo_fleet.config(listen=[listen], seed=seed, log={"format": "console", "level": "warning"})
+    except ValueError as error:
+        failed(str(error).splitlines())
+
+    async def run(roster, process):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(until_signal, nursery.cancel_scope)
+            with trio.fail_after(60):
+                while not roster.exists():
+                    if process.poll() is not None:
+                        raise RuntimeError(f"the leaves ended with status {process.returncode}")
+                    await trio.sleep(0.05)
+            from mothnotch.root.roster import FileRoster
+            log = logs.logger(found.log.format, found.log.level)
+            root = await nursery.start(Root(found, net.SocketNetwork(), log, FileRoster(roster)).run)
+            print(f"postgresql://demo@{root.addresses[0]}/stock  (tables stock, orders, holds; "
+                  f"{demo_fleet.SHARDS} bin ranges on {demo_fleet.CELLS} leaves; Ctrl-C ends it)", flush=True)
+
+    with tempfile.TemporaryDirectory(prefix="mothnotch-") as folder:
+        with leaf_processes(folder, seed=seed, rows=rows, work_ms=work_ms) as (roster, process):
+            try:
+                trio.run(run, roster, process)
+            except* OSError as group:
+                failed([f"cannot listen at {listen}: {error}" for error in group.exceptions])
+
+
+@app.command
+def example():
+    """Print a configuration to start from."""
+    print(json.dumps(demo_fleet.CONFIG, indent=2))
+
+
+def main():
+    app()
--- /dev/null
+++ b/mothnotch/daemon.py
@@ -0,0 +1,56 @@
+"""The daemon: puts core, leaves, roster and front together, and runs until cancelled.
+
+One nursery holds everything; its end is the end of every connection, call and timer of the root.
+"""
+import os
+import time
+
+import trio
+
+from mothnotch.fronts.pg import PgFront
+from mothnotch.fronts.session import Service
+from mothnotch.leaves.pool import Leaves
+from mothnotch.root.core import Core
+from mothnotch.root.roster import FileRoster, Watch
+from mothnotch.sql.plan import Planner
+
+
+class Root:
+    """One root. `random(n)` gives bytes for secrets and for the name of this run; `source` is its roster."""
+
+    def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None):
+        self.config, self.network, self.log = config, network, log
+        schema = config.schema()
+        self.leaves = Leaves(network, config.pool(), log)
+        self.core = Core(config.settings(), config.seed if seed is None else seed, self.leaves, log,
+                         config.root.most_queries)
+        self.core.clock = cpu
+        name = f"{config.root.me}-{random(6).hex()}"
+        self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
+        self.front = PgFront(self.service, config, log, random)
+        self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
+        self.addresses = []
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serves until cancelled; started once every address listens and the roster was read."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.core.run)
+                self.watch.look()
+                nursery.start_soon(self.watch.run)
+                nursery.start_soon(self.leaves.sweep)
+                listeners = []
+                for address in self.config.listen:
+                    listeners += await self.network.listen(address)
+                self.addresses = [self.network.name(listener) for listener in listeners]
+                nursery.start_soon(self.front.run, self.network, listeners, nursery)
+                self.log.info("serving", addresses=self.addresses)
+                task_status.started(self)
+                await trio.sleep_forever()
+        finally:
+            self.leaves.close()
+            self.log.info("stopped", **self.core.counts)
+
+
+def cpu_time():
+    return time.thread_time()
--- /dev/null
+++ b/mothnotch/decisions/transactions.py
@@ -0,0 +1,79 @@
+"""What a transaction over shards may hold, and when its COMMIT may be said.
+
+A write inside BEGIN ... COMMIT is kept until COMMIT, with the number of rows it was told to touch; all writes
+of a transaction must name one bin range, so that one leaf commits them, or none does. At COMMIT the leaf runs
+them; the counts must be those that were told, else it rolls back. docs/sql.md weighs the ways.
+"""
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Refused(Exception):
+    """A statement that cannot be kept honestly inside this transaction."""
+
+    def __init__(self, sqlstate, text, hint=""):
+        super().__init__(text)
+        self.sqlstate, self.hint = sqlstate, hint
+
+
+class Status(Enum):
+    """A session's transaction status, with ReadyForQuery's letter."""
+    IDLE = b"I"
+    OPEN = b"T"
+    FAILED = b"E"
+
+
+@dataclass(slots=True)
+class Transaction:
+    """What one session has under way."""
+    status: Status = Status.IDLE
+    read_only: bool = False
+    shard: int | None = None                     # the one range its writes name
+    writes: list = field(default_factory=list)   # [(payload, rows told)]
+    tables: set = field(default_factory=set)     # written so far
+    most: int = 64                               # writes kept at most
+
+    def begin(self, read_only=False):
+        if self.status is Status.IDLE:
+            self.status, self.read_only = Status.OPEN, read_only
+
+    def reset(self):
+        self.status, self.shard, self.read_only = Status.IDLE, None, False
+        self.writes, self.tables = [], set()
+
+    def error(self):
+        """A statement failed: all else until the end of the block is refused, and COMMIT rolls back."""
+        if self.status is Status.OPEN:
+            self.status = Status.FAILED
+
+    def check_any(self):
+        if self.status is Status.FAILED:
+            raise Refused("25P02", "current transaction is aborted, commands ignored until end of transaction block")
+
+    def check_read(self, tables):
+        seen = self.tables & set(tables)
+        if seen:
+            raise Refused("0A000", f"reading {', '.join(sorted(seen))} after writing it in the same transaction is not "
+                          "supported: the write is held until COMMIT and would not be seen",
+                          "Read before the write, or COMMIT first.")
+
+    def check_write(self, shard, returning):
+        if self.read_only:
+            raise Refused("25006", "cannot execute a write in a read-only transaction")
+        if returning:
+            raise Refused("0A000", "RETURNING inside a transaction block is not supported: the write is held until COMMIT")
+        if self.shard is not None and shard != self.shard:
+            raise Refused("0A000", f"a transaction that writes to two bin ranges ({self.shard} and {shard}) is not supported: "
+                          "no one leaf could commit both", "Use one transaction for each bin range.")
+        if len(self.writes) >= self.most:
+            raise Refused("54000", f"a transaction holds {self.most} writes at most")
+
+    def keep(self, payload, told, shard, table):
+        self.writes.append((payload, told))
+        self.shard = shard
+        self.tables.add(table)
+
+
+def agrees(told, now):
+    """Whether what the statements did at the leaf is what the client was told of each: None was told nothing."""
+    return all(t is None or t == n for t, n in zip(told, now, strict=True))
--- /dev/null
+++ b/mothnotch/leaves/connection.py
@@ -0,0 +1,236 @@
+"""One connection to a leaf: opening it, and the two exchanges that run over it.
+
+Each exchange does no I/O: it is fed what the leaf says and gives bytes to send; the pool drives it. `lost`
+ends its attempts when the connection goes.
+"""
+import msgspec
+
+from mothnotch.decisions import interface as i
+from mothnotch.decisions import outcomes, transactions
+from mothnotch.leaves.payload import Rows, affected
+from mothnotch.net import shut
+from mothnotch.pgwire import auth, client
+from mothnotch.pgwire.backend import Column, ErrorFields
+
+KEYS = "mothnotch_keys"
+KEY_SQL = f"INSERT INTO {KEYS} (key, answer) VALUES ($1, '')"
+ANSWER_SQL = f"UPDATE {KEYS} SET answer = $2 WHERE key = $1"
+SEEN_SQL = f"SELECT answer FROM {KEYS} WHERE key = $1"
+ANSWER_LIMIT = 1 << 16            # bytes of an answer kept beside its key
+TEXT = 25
+
+
+class Unanswered(Exception):
+    """A connection was made and the leaf turned it away, with an error."""
+
+    def __init__(self, fields):
+        super().__init__(fields.text)
+        self.fields = fields
+
+
+class Connection:
+    """An open, authenticated connection. `pid` and `secret` are for cancelling what runs on it."""
+
+    def __init__(self, stream, message_limit):
+        self.stream, self.wire = stream, client.ClientConnection(message_limit)
+        self.pid = self.secret = None
+        self.idle_since = 0.0
+
+    async def receive(self):
+        """The next event; EOFError when the leaf closed the connection."""
+        while True:
+            event = self.wire.next_event()
+            if event is not None:
+                return event
+            data = await self.stream.receive_some(1 << 16)
+            if not data:
+                raise EOFError("the leaf closed the connection")
+            self.wire.receive(data)
+
+    async def open(self, parameters, password):
+        """Startup and authentication, until the leaf is ready."""
+        await self.stream.send_all(client.startup(parameters))
+        scram = None
+        while True:
+            event = await self.receive()
+            if type(event) is client.Auth and event.code:
+                if event.code == 10 and password is not None:
+                    scram = auth.client(parameters["user"], password)
+                    await self.stream.send_all(client.sasl_initial(auth.MECHANISM, scram.get_client_first()))
+                elif event.code == 11 and scram:
+                    scram.set_server_first(event.rest.decode())
+                    await self.stream.send_all(client.sasl_response(scram.get_client_final()))
+                elif event.code == 12 and scram:
+                    scram.set_server_final(event.rest.decode())
+                else:
+                    raise Unanswered(ErrorFields("FATAL", "28000", f"the leaf asks for authentication {event.code}, "
+                                                 "which is not configured"))
+            elif type(event) is client.KeyData:
+                self.pid, self.secret = event.pid, event.secret
+            elif type(event) is client.Failed:
+                raise Unanswered(event.fields)
+            elif type(event) is client.Ready:
+                return
+
+    def close(self):
+        shut(self.stream)
+
+
+class ReadExchange:
+    """Attempts of one call, pipelined, each with a Sync of its own: an error in one leaves the others alone."""
+
+    def __init__(self, attempts):
+        self.attempts, self.at, self.error, self.rows = attempts, 0, None, Rows()
+
+    def begin(self):
+        return b"".join(client.statement(a.payload.tag + a.payload.statement.sql, a.payload.statement.oids,
+                                         a.payload.statement.values) + client.SYNC for a in self.attempts)
+
+    @property
+    def over(self):
+        return self.at == len(self.attempts)
+
+    def lost(self, result):
+        """The connection went: every attempt not answered ends so."""
+        for attempt in self.attempts[self.at:]:
+            attempt.end(result)
+
+    def take(self, event):
+        """Takes one event; gives bytes to send (none here)."""
+        attempt, kind = self.attempts[self.at], type(event)
+        if kind is client.Row:
+            if attempt.hold(event.size):
+                self.rows.rows.append(event.values)
+        elif kind is client.Columns:
+            self.rows.columns = event.columns
+        elif kind is client.Complete:
+            self.rows.tags.append(event.tag)
+        elif kind is client.Failed:
+            self.error = event.fields
+        elif kind is client.Ready:
+            if self.error is not None:
+                whose, result = outcomes.of_error(self.error.sqlstate)
+                attempt.fault(self.error) if whose is outcomes.Fault.QUERY else attempt.end(result)
+            else:
+                attempt.end(i.Result.OK, self.rows)
+            self.at, self.error, self.rows = self.at + 1, None, Rows()
+        return b""
+
+
+class WriteExchange:
+    """One write: BEGIN, its key, its statements; then, if the counts are those told, its answer and COMMIT.
+
+    Until COMMIT has gone out nothing can have taken effect, and `committing` says so. A key that is there already
+    means that an earlier attempt was committed: its answer is read and given."""
+
+    def __init__(self, attempts):
+        (self.attempt,) = self.attempts = attempts
+        self.payload = self.attempt.payload
+        self.over = self.committing = False
+        self.step = self.ran
+        self.clear()
+
+    def clear(self):
+        """A new round: what the leaf says up to its next ReadyForQuery."""
+        self.error, self.completed, self.answers, self.rows = None, [], [], Rows()
+
+    def begin(self):
+        p = self.payload
+        out = self.statement("BEGIN") + self.statement(KEY_SQL, p.key)
+        for s in p.statements:
+            out += client.statement(p.tag + s.sql, s.oids, s.values)
+        return out + client.SYNC
+
+    def statement(self, sql, *texts):
+        return client.statement(self.payload.tag + sql, (TEXT,) * len(texts), tuple(t.encode() for t in texts))
+
+    def lost(self, result):
+        """The connection went, or the time: before COMMIT went out that is proof that nothing has run."""
+        if not self.committing:
+            result = outcomes.before_commit(result)
+        self.attempt.end(result)
+
+    def take(self, event):
+        """Takes one event; gives bytes to send: the next round's, or none."""
+        kind = type(event)
+        if kind is client.Row:
+            if self.attempt.hold(event.size):
+                self.rows.rows.append(event.values)
+        elif kind is client.Columns:
+            self.rows.columns = event.columns
+        elif kind is client.Complete:
+            self.completed.append(event.tag)
+            self.answers.append(self.rows)
+            self.rows = Rows(tags=[])
+        elif kind is client.Failed:
+            self.error = self.error or event.fields
+        elif kind is client.Ready:
+            out = self.step(event.status)
+            self.clear()
+            return out
+        return b""
+
+    # ---- the rounds ----
+
+    def ran(self, status):
+        """BEGIN, key and statements are through."""
+        if self.error is not None:
+            if len(self.completed) == 1 and self.error.sqlstate == "23505":
+                self.step = self.read_answer           # the key is there: it was committed before
+                return self.statement("ROLLBACK") + self.statement(SEEN_SQL, self.payload.key) + client.SYNC
+            return self.roll_back(self.error)
+        tags = self.completed[2:]
+        counts = [affected(tag) for tag in tags]
+        if not transactions.agrees(self.payload.told, counts):
+            sqlstate, text, hint = outcomes.COUNT_MOVED
+            told, now = next((t, n) for t, n in zip(self.payload.told, counts, strict=True) if t not in (None, n))
+            return self.roll_back(ErrorFields("ERROR", sqlstate, text.format(told=told, now=now), hint=hint))
+        last = self.answers[-1]
+        self.answer = Rows(last.columns, last.rows, tags)
+        kept = packed(self.answer)
+        if len(kept) > ANSWER_LIMIT:
+            return self.roll_back(ErrorFields("ERROR", "54000", f"the answer of a write would pass {ANSWER_LIMIT} "
+                                              "bytes; nothing was changed", hint="Return fewer rows."))
+        self.step, self.committing = self.committed, True
+        return self.statement(ANSWER_SQL, self.payload.key, kept) + self.statement("COMMIT") + client.SYNC
+
+    def roll_back(self, error):
+        self.failure, self.step = error, self.rolled_back
+        return client.query("ROLLBACK")
+
+    def rolled_back(self, status):
+        self.over = True
+        whose, result = outcomes.of_error(self.failure.sqlstate)
+        if whose is outcomes.Fault.QUERY or self.failure.sqlstate == outcomes.COUNT_MOVED[0]:
+            self.attempt.fault(self.failure)
+        else:
+            # It was rolled back, and the leaf said so: proven not to have run.
+            self.attempt.end(outcomes.before_commit(result))
+        return b""
+
+    def committed(self, status):
+        self.over = True
+        if self.error is None and self.completed and self.completed[-1] == "COMMIT":
+            self.attempt.end(i.Result.OK, self.answer)
+        else:
+            self.attempt.end(i.Result.ERROR)
+        return b""
+
+    def read_answer(self, status):
+        self.over = True
+        if self.error is None and self.answers and self.answers[-1].rows:
+            self.attempt.end(i.Result.OK, unpacked(self.answers[-1].rows[0][0]))
+        else:
+            self.attempt.end(i.Result.ERROR)
+        return b""
+
+
+def packed(rows):
+    """An answer as it is kept beside its key: command tags and rows, JSON."""
+    return msgspec.json.encode([rows.tags, [[None if v is None else v.decode() for v in row] for row in rows.rows],
+                                [[c.name, c.oid, c.size] for c in rows.columns]]).decode()
+
+
+def unpacked(raw):
+    tags, rows, columns = msgspec.json.decode(raw)
+    return Rows([Column(*c) for c in columns], [[None if v is None else v.encode() for v in row] for row in rows], tags)
--- /dev/null
+++ b/mothnotch/net.py
@@ -0,0 +1,234 @@
+"""The one seam to sockets and clocks: the whole program runs over it, on loopback or in memory.
+
+A `Network` opens and listens; addresses are text: `host:port`, `[v6]:port` or `unix:/path`. Time is trio's own
+(`trio.current_time`), so a virtual clock needs nothing here but the wall clock of the same run.
+"""
+import socket
+import time
+
+import trio
+
+
+class AddressError(ValueError):
+    """An address that cannot be read."""
+
+
+def parse_address(text):
+    """("unix", path) or ("tcp", host, port) of an address; AddressError says what is wrong with it."""
+    if text.startswith("unix:"):
+        return "unix", text[5:]
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdigit() or int(port) > 65535:
+        raise AddressError(f"address {text!r}: expected HOST:PORT or unix:/path")
+    return "tcp", host.strip("[]"), int(port)
+
+
+def shut(stream):
+    """Closes a stream at once, without waiting."""
+    (stream.socket if hasattr(stream, "socket") else stream).close()
+
+
+class SocketNetwork:
+    """Real sockets, real time."""
+
+    def wall(self):
+        """Seconds of the wall clock."""
+        return time.time()
+
+    async def open(self, address):
+        """A connected stream; OSError if none can be had. The caller bounds the wait."""
+        kind, *rest = parse_address(address)
+        if kind == "unix":
+            return await trio.open_unix_socket(rest[0])
+        return await trio.open_tcp_stream(*rest)
+
+    async def listen(self, address, backlog=1024):
+        """A list of listeners, each with `accept`; port 0 picks one."""
+        kind, *rest = parse_address(address)
+        if kind == "unix":
+            sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            await sock.bind(rest[0])
+            sock.listen(backlog)
+            return [trio.SocketListener(sock)]
+        return await trio.open_tcp_listeners(rest[1], host=rest[0], backlog=backlog)
+
+    def name(self, listener):
+        """The address a listener really has."""
+        found = listener.socket.getsockname()
+        return f"unix:{found}" if isinstance(found, str) else f"{found[0]}:{found[1]}"
+
+    def lost(self, stream):
+        """Whether an idle stream was closed by its peer, or holds bytes nobody asked for: seen without waiting."""
+        try:
+            stream.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
+
+
+class MemoryListener:
+    def __init__(self, network, address):
+        self.network, self.address = network, address
+        self.send, self.receive = trio.open_memory_channel(network.backlog)
+
+    async def accept(self):
+        try:
+            return await self.receive.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError):
+            raise trio.ClosedResourceError("listener was closed") from None
+
+    async def aclose(self):
+        if self.network.listeners.get(self.address) is self:
+            del self.network.listeners[self.address]
+        self.send.close()
+        while True:                     # what was connected and not accepted sees its peer go
+            try:
+                stream = self.receive.receive_nowait()
+            except (trio.WouldBlock, trio.EndOfChannel, trio.ClosedResourceError):
+                break
+            stream.close()
+        self.receive.close()
+        await trio.lowlevel.checkpoint()
+
+
+class MemoryStream(trio.abc.HalfCloseableStream):
+    """One end of a pair in memory. At most `limit` bytes wait unread in a direction; then the sender waits."""
+
+    def __init__(self, limit):
+        self.limit, self.buffer, self.peer = limit, bytearray(), None
+        self.closed = self.ended = False            # closed here; the peer will send no more
+        self.changed = trio.Event()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+        data = bytes(data)
+        while data:
+            if self.closed:
+                raise trio.ClosedResourceError("this stream was closed")
+            if self.peer.closed:
+                raise trio.BrokenResourceError("the peer closed the connection")
+            room = self.limit - len(self.peer.buffer)
+            if room > 0:
+                self.peer.buffer += data[:room]
+                data = data[room:]
+                self.peer._wake()
+            else:
+                await self.peer.changed.wait()
+
+    async def wait_send_all_might_not_block(self):
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes=None):
+        await trio.lowlevel.checkpoint()
+        while True:
+            if self.closed:
+                raise trio.ClosedResourceError("this stream was closed")
+            if self.buffer:
+                n = len(self.buffer) if max_bytes is None else max_bytes
+                data = bytes(self.buffer[:n])
+                del self.buffer[:n]
+                self._wake()
+                return data
+            if self.ended or self.peer.closed:
+                return b""
+            await self.changed.wait()
+
+    async def send_eof(self):
+        await trio.lowlevel.checkpoint()
+        self.peer.ended = True
+        self.peer._wake()
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self._wake()
+            self.peer._wake()
+
+    async def aclose(self):
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+
+def memory_pair(limit=1 << 18):
+    a, b = MemoryStream(limit), MemoryStream(limit)
+    a.peer, b.peer = b, a
+    return a, b
+
+
+class MemoryNetwork:
+    """Streams in memory, addresses as names: for the virtual clock. `started` is the wall clock's reading at 0."""
+
+    def __init__(self, started=1_800_000_000.0, backlog=1024):
+        self.started, self.backlog, self.listeners, self.next_port = started, backlog, {}, 40000
+        self.unreachable = set()           # addresses whose connects get no answer at all
+
+    def wall(self):
+        return self.started + trio.current_time()
+
+    async def open(self, address):
+        await trio.lowlevel.checkpoint()
+        if address in self.unreachable:
+            await trio.sleep_forever()
+        listener = self.listeners.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(f"nobody listens at {address}")
+        ours, theirs = memory_pair()
+        try:
+            listener.send.send_nowait(theirs)
+        except trio.WouldBlock:
+            raise ConnectionRefusedError(f"too many wait at {address}") from None
+        return ours
+
+    async def listen(self, address, backlog=None):
+        await trio.lowlevel.checkpoint()
+        host, _, port = address.rpartition(":")
+        if port == "0":
+            self.next_port += 1
+            address = f"{host}:{self.next_port}"
+        if address in self.listeners:
+            raise OSError(f"{address} is in use")
+        self.listeners[address] = MemoryListener(self, address)
+        return [self.listeners[address]]
+
+    def name(self, listener):
+        return listener.address
+
+    def lost(self, stream):
+        return stream.closed or stream.ended or stream.peer.closed or bool(stream.buffer)
+
+
+async def serve(network, listeners, handler, nursery, most=None, turned_away=None):
+    """Accepts until cancelled, one task of the nursery a connection. Past `most` at once, `turned_away(stream)`
+    is run instead of the handler. A failed accept (no descriptors left) waits a little: it must not spin."""
+    state = {"open": 0}
+
+    async def one(stream):
+        state["open"] += 1
+        try:
+            await handler(stream)
+        finally:
+            state["open"] -= 1
+
+    async def accept(listener):
+        while True:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
+            except OSError:
+                await trio.sleep(0.05)
+                continue
+            if most is not None and state["open"] >= most:
+                nursery.start_soon(turned_away, stream)
+            else:
+                nursery.start_soon(one, stream)
+
+    async with trio.open_nursery() as accepting:
+        for listener in listeners:
+            accepting.start_soon(accept, listener)
--- /dev/null
+++ b/mothnotch/pgwire/backend.py
@@ -0,0 +1,156 @@
+"""Messages that a server sends, as bytes, and their reading at the client's side.
+
+Source: PostgreSQL documentation, "Message Formats" and "Error and Notice Message Fields".
+"""
+import struct
+from dataclasses import dataclass, field
+
+from mothnotch.pgwire.framing import INT32, Reader, cstring, message, values
+
+AUTH_OK = message(b"R", INT32.pack(0))
+PARSE_COMPLETE, BIND_COMPLETE, CLOSE_COMPLETE = message(b"1"), message(b"2"), message(b"3")
+NO_DATA, EMPTY_QUERY, PORTAL_SUSPENDED = message(b"n"), message(b"I"), message(b"s")
+COLUMN = struct.Struct("!ihihih")
+
+
+@dataclass(slots=True, frozen=True)
+class Column:
+    """A column of a result: its name, type OID, type length in bytes (-1: variable) and format (0 text, 1 binary)."""
+    name: str
+    oid: int
+    size: int = -1
+    format: int = 0
+
+
+@dataclass(slots=True)
+class ErrorFields:
+    """What an ErrorResponse or NoticeResponse says."""
+    severity: str
+    sqlstate: str
+    text: str
+    detail: str = ""
+    hint: str = ""
+    position: str = ""
+    more: dict = field(default_factory=dict)
+
+    KNOWN = {"S": "severity", "C": "sqlstate", "M": "text", "D": "detail", "H": "hint", "P": "position"}
+
+
+def ready(status):
+    return message(b"Z", status)
+
+
+READY = {status: ready(status) for status in (b"I", b"T", b"E")}
+
+
+def sasl(mechanisms):
+    return message(b"R", INT32.pack(10), *(cstring(m) for m in mechanisms), b"\0")
+
+
+def sasl_continue(text):
+    return message(b"R", INT32.pack(11), text.encode())
+
+
+def sasl_final(text):
+    return message(b"R", INT32.pack(12), text.encode())
+
+
+def negotiate(minor, unknown):
+    """NegotiateProtocolVersion: the newest minor version spoken, and the options not known."""
+    return message(b"v", INT32.pack(minor), INT32.pack(len(unknown)), *(cstring(name) for name in unknown))
+
+
+def parameter_status(name, value):
+    return message(b"S", cstring(name), cstring(value))
+
+
+def key_data(pid, secret):
+    return message(b"K", struct.pack("!II", pid, secret))
+
+
+def row_description(columns):
+    out = [struct.pack("!H", len(columns))]
+    for c in columns:
+        out += [cstring(c.name), COLUMN.pack(0, 0, c.oid, c.size, -1, c.format)]
+    return message(b"T", *out)
+
+
+def parameter_description(oids):
+    return message(b"t", struct.pack(f"!H{len(oids)}I", len(oids), *oids))
+
+
+def data_row(items):
+    return message(b"D", values(items))
+
+
+def command_complete(tag):
+    return message(b"C", cstring(tag))
+
+
+def _fields(kind, e):
+    pairs = [("S", e.severity), ("V", e.severity), ("C", e.sqlstate), ("M", e.text)]
+    pairs += [(k, v) for k, v in (("D", e.detail), ("H", e.hint), ("P", e.position)) if v]
+    pairs += [(k, v) for k, v in e.more.items() if k not in ("S", "V", "C", "M", "D", "H", "P")]
+    return message(kind, *(k.encode() + cstring(v) for k, v in pairs), b"\0")
+
+
+def error(fields):
+    return _fields(b"E", fields)
+
+
+def notice(fields):
+    return _fields(b"N", fields)
+
+
+def copy_in_response():
+    return message(b"G", b"\0\0\0")
+
+
+# ---- reading, at the client's side ----
+
+def read_fields(body, what="ErrorResponse"):
+    r, found = Reader(body, what), {}
+    while True:
+        kind = r.byte()
+        if kind == b"\0":
+            break
+        found[kind.decode("latin-1")] = r.string()
+    r.end()
+    known = {name: found.pop(letter) for letter, name in ErrorFields.KNOWN.items() if letter in found}
+    known.setdefault("severity", "ERROR")
+    known.setdefault("sqlstate", "XX000")
+    known.setdefault("text", "")
+    return ErrorFields(**known, more=found)
+
+
+def read_row_description(body):
+    r, columns = Reader(body, "RowDescription"), []
+    for _ in range(r.count()):
+        name = r.string()
+        _, _, oid, size, _, format = COLUMN.unpack(r.take(COLUMN.size))
+        columns.append(Column(name, oid & 0xFFFFFFFF, size, format))
+    r.end()
+    return columns
+
+
+def read_data_row(body):
+    """The values of one row, quickly: a root reads many."""
+    n, at, out, size = int.from_bytes(body[:2], "big"), 2, [], len(body)
+    unpack = INT32.unpack_from
+    for _ in range(n):
+        if at + 4 > size:
+            Reader(body, "DataRow").take(size + 1)
+        length = unpack(body, at)[0]
+        at += 4
+        if length == -1:
+            out.append(None)
+        else:
+            if length < 0 or at + length > size:
+                Reader(body, "DataRow").take(size + 1)
+            out.append(body[at:at + length])
+            at += length
+    if at != size:
+        r = Reader(body, "DataRow")
+        r.at = at
+        r.end()
+    return out
--- /dev/null
+++ b/mothnotch/pgwire/client.py
@@ -0,0 +1,131 @@
+"""The client's side: what a root says to a leaf, and the reading of what the leaf says."""
+import struct
+from dataclasses import dataclass
+
+from mothnotch.pgwire import backend as b
+from mothnotch.pgwire.framing import INT32, Framer, ProtocolError, Reader, cstring, message, shorts, values
+
+SYNC, FLUSH, TERMINATE = message(b"S"), message(b"H"), message(b"X")
+DESCRIBE_PORTAL = message(b"D", b"P\0")
+
+
+def startup(parameters):
+    body = INT32.pack(196608) + b"".join(cstring(k) + cstring(v) for k, v in parameters.items()) + b"\0"
+    return INT32.pack(len(body) + 4) + body
+
+
+def cancel_request(pid, secret):
+    return struct.pack("!IIII", 16, 80877102, pid, secret)
+
+
+def query(sql):
+    return message(b"Q", cstring(sql))
+
+
+def parse(name, sql, oids=()):
+    return message(b"P", cstring(name), cstring(sql), struct.pack(f"!H{len(oids)}I", len(oids), *oids))
+
+
+def bind(portal, statement, formats, bound, result_formats):
+    return message(b"B", cstring(portal), cstring(statement), shorts(formats), values(bound), shorts(result_formats))
+
+
+def execute(portal="", max_rows=0):
+    return message(b"E", cstring(portal), INT32.pack(max_rows))
+
+
+def sasl_initial(mechanism, first):
+    return message(b"p", cstring(mechanism), INT32.pack(len(first)), first.encode())
+
+
+def sasl_response(text):
+    return message(b"p", text.encode())
+
+
+def statement(sql, oids, bound):
+    """Parse, Bind and Execute of the unnamed statement with text parameters and text results; no Sync."""
+    return parse("", sql, oids) + bind("", "", (), bound, ()) + DESCRIBE_PORTAL + execute()
+
+
+# ---- what comes back ----
+
+@dataclass(slots=True, frozen=True)
+class Auth:
+    """0 is OK, 10 to 12 are SASL's steps."""
+    code: int
+    rest: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class KeyData:
+    pid: int
+    secret: int
+
+
+@dataclass(slots=True, frozen=True)
+class Columns:
+    columns: list
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    values: list
+    size: int                   # bytes of the message
+
+
+@dataclass(slots=True, frozen=True)
+class Complete:
+    tag: str
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    fields: b.ErrorFields
+
+
+@dataclass(slots=True, frozen=True)
+class Ready:
+    status: str
+
+
+@dataclass(slots=True, frozen=True)
+class Other:
+    """A message that says nothing to a root: completions, notices, settings."""
+    kind: str
+
+
+class ClientConnection:
+    """The reading side of a connection to a server. An unknown message is a ProtocolError."""
+
+    QUIET = frozenset((b"1", b"2", b"3", b"n", b"N", b"S", b"A", b"s", b"I", b"t", b"v"))
+
+    def __init__(self, message_limit):
+        self.framer = Framer(message_limit, startup=False)
+
+    def receive(self, data):
+        self.framer.feed(data)
+
+    def next_event(self):
+        found = self.framer.next()
+        if found is None:
+            return None
+        kind, body = found
+        if kind == b"D":
+            return Row(b.read_data_row(body), len(body))
+        if kind == b"C":
+            return Complete(Reader(body, "CommandComplete").string())
+        if kind == b"Z":
+            return Ready(Reader(body, "ReadyForQuery").byte().decode("latin-1"))
+        if kind == b"E":
+            return Failed(b.read_fields(body))
+        if kind == b"T":
+            return Columns(b.read_row_description(body))
+        if kind == b"R":
+            r = Reader(body, "Authentication")
+            return Auth(r.int32(), r.rest())
+        if kind == b"K":
+            r = Reader(body, "BackendKeyData")
+            return KeyData(r.uint32(), r.uint32())
+        if kind in self.QUIET:
+            return Other(kind.decode())
+        raise ProtocolError(f"message type {kind!r} is not one a server sends here")
--- /dev/null
+++ b/mothnotch/root/core.py
@@ -0,0 +1,289 @@
+"""The turn loop. One task owns the Balancer: it drains the events that wait, calls `handle` once a turn and
+carries out the actions. Nothing else touches the Balancer, and nothing here picks a server, a time-out, a
+retry, an answer or a refusal: this file only keeps the books between the module, the fronts and the leaves.
+"""
+import heapq
+import itertools
+import math
+from dataclasses import dataclass, field
+
+import trio
+
+from mothnotch.decisions import interface as i
+from mothnotch.decisions.balance import Balancer
+from mothnotch.decisions.outcomes import Final
+from mothnotch.root.request import Outcome
+
+
+def now_us():
+    """The root's clock: monotonic, microseconds."""
+    return int(trio.current_time() * 1e6)
+
+
+class Attempt:
+    """One send of a part. The leaf's driver collects into `rows` and calls `end` once; a later call does nothing."""
+
+    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "rows", "size", "ended", "call", "core")
+
+    def __init__(self, core, part, n, server, limit_us):
+        self.core, self.part, self.n, self.server, self.limit_us = core, part, n, server, limit_us
+        self.sent_us, self.rows, self.size, self.ended, self.call = now_us(), None, 0, False, None
+
+    @property
+    def payload(self):
+        return self.part.spec.payload
+
+    @property
+    def deadline(self):
+        """When it times out, in trio's seconds."""
+        return (self.sent_us + self.limit_us) / 1e6
+
+    def hold(self, size):
+        """Counts bytes to be held for this attempt; False if nobody wants them (any more)."""
+        self.size += size
+        query = self.part.query
+        if self.ended or query.outcome is not None:
+            return False
+        query.held += size
+        if query.held <= query.request.limit_bytes:
+            return True
+        self.core.fault(query, query.request.overflow)
+        return False
+
+    def end(self, result, rows=None, report=None):
+        """Tells the module how it ended. With OK, `rows` is the part's answer."""
+        if self.ended:
+            return
+        self.ended = True
+        took = now_us() - self.sent_us
+        if result is i.Result.OK:
+            self.part.rows, self.part.took_us = rows, took
+        elif not self.part.query.outcome:
+            self.part.query.held -= self.size
+        del self.part.out[self.n]
+        if self.part.query.swept and not self.part.out:
+            del self.core.parts[self.part.id]
+        self.core.post(i.AttemptEnded(self.part.id, self.n, self.server, result, took, report))
+
+    def fault(self, error):
+        """The leaf answered that the query itself is at fault: no mark against the server, and the query's answer."""
+        self.end(i.Result.OK)
+        self.core.fault(self.part.query, error)
+
+
+@dataclass(slots=True, eq=False)
+class Part:
+    id: str
+    spec: object
+    query: object
+    sends: int = 0
+    out: dict = field(default_factory=dict)        # attempts out, by number
+    rows: object = None
+    took_us: int = 0                               # of the attempt that brought them
+
+
+@dataclass(slots=True, eq=False)
+class Query:
+    id: str
+    number: int
+    request: object
+    done: trio.Event
+    parts: list = field(default_factory=list)
+    outcome: Outcome | None = None
+    held: int = 0                                  # bytes of rows held for it
+    swept: bool = False                            # the module knows that it is over: nothing new can come for it
+
+
+class Full(Exception):
+    """The root holds as many queries as it may."""
+
+
+class Core:
+    """The Balancer and its books. `leaves.send(server, attempts, nursery)` sends; `log` is a structlog logger.
+
+    Bounds: `most_queries` open at once, past which `ask` raises Full (nothing was taken); events that wait are
+    bounded by those and by the attempts out, as each attempt ends once.
+    """
+
+    def __init__(self, settings, seed, leaves, log, most_queries=10_000):
+        self.settings, self.leaves, self.log, self.most_queries = settings, leaves, log, most_queries
+        self.balancer = Balancer(settings, seed)
+        self.events, self.woken, self.wakes = [], trio.Event(), []
+        self.numbers = itertools.count(1)
+        self.queries, self.parts, self.closing = {}, {}, []
+        self.on = {i.Send: self.on_send, i.Cancel: self.on_cancel, i.Answer: self.on_answer,
+                   i.Refuse: self.on_refuse, i.GiveUp: self.on_give_up, i.Wake: self.on_wake,
+                   i.Disconnect: self.on_disconnect, i.Subscribe: self.on_subscribe, i.Log: self.on_log}
+        self.subscribe = trio.Event()              # set when the module asks for the list again
+        self.counts = {"queries": 0, "answered": 0, "refused": 0, "failed": 0, "gone": 0, "sends": 0, "turns": 0,
+                       "in_part": 0, "faults": 0, "overdue": 0}
+        self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
+        self.clock = None
+
+    # ---- what fronts call ----
+
+    async def ask(self, request):
+        """The final answer to a request. Cancelling the caller tells the module that the client left."""
+        if len(self.queries) >= self.most_queries:
+            raise Full(f"{self.most_queries} queries are open")
+        number = next(self.numbers)
+        query = Query(f"q{number}", number, request, trio.Event())
+        self.queries[query.id] = query
+        self.counts["queries"] += 1
+        self.post(i.QueryArrived(query.id, number, request.class_name, request.tenant, request.key,
+                                 request.deadline_us, request.cost_us, request.repeated))
+        for n, spec in enumerate(request.parts):
+            part = Part(f"{query.id}.{n}", spec, query)
+            query.parts.append(part)
+            self.parts[part.id] = part
+            self.post(i.PartArrived(part.id, number, spec.shard, spec.weight, spec.cost_us))
+        try:
+            with trio.move_on_at(request.deadline_us / 1e6):
+                await query.done.wait()
+            if query.outcome is None:
+                # The module ends every query before the client's time; should it ever not, the client still hears.
+                self.counts["overdue"] += 1
+                self.log.error("no final answer in the client's time", query=query.id, class_name=request.class_name)
+                self.leave(query, Outcome(Final.FAILED))
+        finally:
+            if query.outcome is None:
+                self.counts["gone"] += 1
+                self.leave(query, Outcome(Final.FAILED))
+        return query.outcome
+
+    def news(self, news):
+        """News about the list of leaves."""
+        self.post(news)
+
+    # ---- books ----
+
+    def post(self, event):
+        self.events.append(event)
+        self.woken.set()
+
+    def leave(self, query, outcome):
+        """The query is over before the module said so: it is told."""
+        self.close(query, outcome)
+        self.post(i.QueryGone(query.id))
+
+    def fault(self, query, error):
+        """The query's own error is its answer; the first one counts."""
+        if query.outcome is None:
+            self.counts["faults"] += 1
+            self.leave(query, Outcome(Final.ANSWERED, error=error))
+
+    def close(self, query, outcome):
+        query.outcome = outcome
+        del self.queries[query.id]
+        self.closing.append(query)
+        query.done.set()
+
+    def sweep(self):
+        """Lets go of the parts of queries that the module has closed, but for those with attempts still out."""
+        for query in self.closing:
+            query.swept = True
+            for part in query.parts:
+                if not part.out:
+                    del self.parts[part.id]
+        self.closing = []
+
+    # ---- the loop ----
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Runs until cancelled. Calls to leaves live in its nursery: they end with it."""
+        async with trio.open_nursery() as self.nursery:
+            task_status.started()
+            while True:
+                if not self.events:
+                    self.woken = trio.Event()
+                    # Two microseconds late rather than early: a wake-up before its time would be lost on the module.
+                    with trio.move_on_at((self.wakes[0] + 2) / 1e6 if self.wakes else math.inf):
+                        await self.woken.wait()
+                # One more pass of the scheduler, so that what became ready together shares a turn.
+                await trio.lowlevel.checkpoint()
+                self.turn()
+
+    def turn(self):
+        now, events = now_us(), self.events
+        self.now = now
+        self.events = []
+        while self.wakes and self.wakes[0] <= now:
+            heapq.heappop(self.wakes)
+            events.append(i.Woken(0))
+        if not events:
+            return
+        self.counts["turns"] += 1
+        begun = self.clock() if self.clock else 0
+        actions = self.balancer.handle(now, events)
+        if self.clock:
+            self.busy_s += self.clock() - begun
+        self.sends = {}
+        for action in actions:
+            self.on[type(action)](action)
+        self.sweep()
+        for server, attempts in self.sends.items():
+            if attempts:
+                self.leaves.send(server, attempts, self.nursery)
+        self.sends = {}
+
+    # ---- actions ----
+
+    def on_send(self, action):
+        part = self.parts[action.part]
+        attempt = Attempt(self, part, part.sends, action.server, action.limit_us)
+        part.out[part.sends] = attempt
+        part.sends += 1
+        if part.query.outcome is not None:
+            # The client left while this was decided: what follows a final answer is not sent.
+            attempt.end(i.Result.UNSENT)
+            return
+        self.counts["sends"] += 1
+        self.sends.setdefault(action.server, []).append(attempt)
+
+    def on_cancel(self, action):
+        part = self.parts.get(action.part)
+        attempt = part and part.out.get(action.attempt)
+        if attempt is None:
+            return
+        waiting = self.sends.get(attempt.server, [])
+        if attempt in waiting:
+            waiting.remove(attempt)
+            attempt.end(i.Result.UNSENT)
+            return
+        attempt.end(i.Result.CANCELLED)
+        if attempt.call is not None:
+            attempt.call.dropped()
+
+    def finish(self, query_id, outcome, count):
+        query = self.queries.get(query_id)
+        if query is not None:                    # else the client left in this very turn
+            self.counts[count] += 1
+            self.close(query, outcome)
+
+    def on_answer(self, action):
+        query = self.queries.get(action.query)
+        if query is None:
+            return
+        rows = {n: part.rows for n, part in enumerate(query.parts) if part.rows is not None}
+        self.counts["in_part"] += not action.whole
+        took = [part.took_us for part in query.parts if part.rows is not None]
+        self.finish(action.query, Outcome(Final.ANSWERED, action.whole, rows=rows, took=took), "answered")
+
+    def on_refuse(self, action):
+        self.finish(action.query, Outcome(Final.REFUSED, retry_after_us=action.retry_after_us), "refused")
+
+    def on_give_up(self, action):
+        self.finish(action.query, Outcome(Final.FAILED), "failed")
+
+    def on_wake(self, action):
+        heapq.heappush(self.wakes, self.now + action.delay_us)
+
+    def on_disconnect(self, action):
+        self.leaves.disconnect(action.server)
+
+    def on_subscribe(self, action):
+        self.subscribe.set()
+        self.subscribe = trio.Event()
+
+    def on_log(self, action):
+        self.log.info("module", text=action.text)
--- /dev/null
+++ b/mothnotch/root/request.py
@@ -0,0 +1,43 @@
+"""What a front hands to the core, and what it gets back. No front's protocol shows here."""
+from dataclasses import dataclass, field
+
+from mothnotch.decisions.outcomes import Final
+
+
+@dataclass(slots=True, frozen=True)
+class PartSpec:
+    """One shard's share of a request. `payload` is for the leaf's driver alone; the core never looks into it."""
+    shard: int
+    weight: float                # share of the request's worth; all parts together: 1
+    cost_us: int | None          # rough work, where known
+    payload: object
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """One query. `key`: requests with the same key meet the same homes. `deadline_us`: the client's time, on the
+    root's own clock."""
+    class_name: str
+    tenant: str | None
+    key: str | None
+    deadline_us: int
+    parts: tuple[PartSpec, ...]
+    repeated: bool = False
+    limit_bytes: int = 1 << 62   # rows of all parts together; past it the request ends with `overflow`
+    overflow: object = None      # what it ends with then: an error of the front's own making
+
+    @property
+    def cost_us(self):
+        known = [p.cost_us for p in self.parts if p.cost_us]
+        return sum(known) if len(known) == len(self.parts) else None
+
+
+@dataclass(slots=True)
+class Outcome:
+    """The one final answer. ANSWERED has either `rows` by part number, or `error`: the query's own fault."""
+    final: Final
+    whole: bool = False
+    retry_after_us: int = 0
+    rows: dict = field(default_factory=dict)      # part number -> what the leaf's driver collected
+    error: object = None
+    took: list = field(default_factory=list)      # microseconds of each part's answer
--- /dev/null
+++ b/mothnotch/standins/store.py
@@ -0,0 +1,178 @@
+"""The tables of a stand-in fleet: one SQLite database in memory for each bin range, shared by its holders.
+
+What replicates behind the leaves is not the root's business; sharing stands for it. A write transaction runs its
+statements, notes what they did and undoes them; COMMIT runs them again and must see the same, so nothing is
+locked while a connection waits, and readers see committed rows only.
+"""
+import math
+import random
+import re
+import sqlite3
+
+import sqlglot
+from sqlglot import exp
+
+from mothnotch.sql.dialect import Dialect
+
+ITEMS = ("rice 2kg", "black beans", "oat flakes", "tomato, canned", "peanut butter", "pasta", "apple sauce", "tuna",
+         "milk powder", "lentils", "corn, canned", "flour", "olive oil", "soup, vegetable", "cereal", "baby formula")
+AGENCIES = ("nashua-pantry", "lowell-kitchen", "salem-shelter", "derry-table", "hudson-hands")
+TABLES = {
+    "stock": "bin INTEGER, item TEXT, lot TEXT, best_before TEXT, qty INTEGER",
+    "orders": "bin INTEGER, order_id TEXT, agency TEXT, item TEXT, qty INTEGER",
+    "holds": "bin INTEGER, order_id TEXT, item TEXT, qty INTEGER",
+    "mothnotch_keys": "key TEXT PRIMARY KEY, answer TEXT, at REAL",
+}
+TAG = re.compile(r"^/\*(.*?)\*/\s*")
+
+
+class EngineError(Exception):
+    def __init__(self, sqlstate, text):
+        super().__init__(text)
+        self.sqlstate = sqlstate
+
+
+def to_sqlite(sql):
+    """A statement of PostgreSQL's dialect in SQLite's."""
+    tree = sqlglot.parse_one(sql, read=Dialect)
+
+    def change(node):
+        if isinstance(node, exp.Collate):
+            return node.this
+        if isinstance(node, (exp.Div, exp.Mod)):
+            name = "pg_div" if isinstance(node, exp.Div) else "pg_mod"
+            return exp.Anonymous(this=name, expressions=[node.this, node.expression])
+        if isinstance(node, exp.Like) and not isinstance(node.parent, exp.Escape):
+            return exp.Escape(this=node.copy(), expression=exp.Literal.string("\\"))
+        if isinstance(node, exp.Limit):
+            return exp.Limit(expression=exp.Coalesce(this=node.expression, expressions=[exp.Literal.number(-1)]))
+        if isinstance(node, exp.Cast) and node.args["to"].sql().upper() in ("DATE", "TIMESTAMP"):
+            return node.this
+        return node
+
+    tree = tree.transform(change)
+    booleans = [isinstance(p.unalias(), (exp.Predicate, exp.Connector, exp.Not, exp.Boolean))
+                for p in getattr(tree, "selects", [])]
+    return re.sub(r"[$@:](\d+)", r"?\1", tree.sql("sqlite")), booleans
+
+
+def pg_div(a, b):
+    if a is None or b is None:
+        return None
+    if b == 0:
+        raise ZeroDivisionError
+    if isinstance(a, int) and isinstance(b, int):
+        q = abs(a) // abs(b)
+        return q if (a < 0) == (b < 0) else -q
+    return a / b
+
+
+def pg_mod(a, b):
+    if a is None or b is None:
+        return None
+    if b == 0:
+        raise ZeroDivisionError
+    return int(math.fmod(a, b)) if isinstance(a, int) and isinstance(b, int) else math.fmod(a, b)
+
+
+def database():
+    db = sqlite3.connect(":memory:", isolation_level=None, check_same_thread=False, cached_statements=512)
+    db.execute("PRAGMA case_sensitive_like = ON")
+    db.create_function("pg_div", 2, pg_div, deterministic=True)
+    db.create_function("pg_mod", 2, pg_mod, deterministic=True)
+    for name, columns in TABLES.items():
+        db.execute(f"CREATE TABLE {name} ({columns})")
+        if "bin" in columns:
+            db.execute(f"CREATE INDEX {name}_bin ON {name} (bin)")
+    return db
+
+
+class Store:
+    """All ranges of a fleet. `bounds` as in the schema; the rows are drawn from a seed."""
+
+    def __init__(self, bounds, seed=1, rows=250):
+        self.bounds, self.rng = bounds, random.Random(seed)
+        self.ranges = [database() for _ in bounds[:-1]]
+        for shard, db in enumerate(self.ranges):
+            low, high = bounds[shard], bounds[shard + 1]
+            for _ in range(rows):
+                db.execute("INSERT INTO stock VALUES (?,?,?,?,?)", self.stock_row(low, high))
+                if self.rng.random() < 0.4:
+                    db.execute("INSERT INTO orders VALUES (?,?,?,?,?)", self.order_row(low, high))
+        self.texts = {}
+        self.broken_keys = False           # planted breach: repeats are not dropped
+
+    def stock_row(self, low, high):
+        r = self.rng
+        date = f"2026-{r.randint(1, 12):02d}-{r.randint(1, 28):02d}" if r.random() < 0.9 else None
+        qty = r.randint(0, 120) if r.random() < 0.95 else None
+        return r.randrange(low, high), r.choice(ITEMS), f"L{r.randint(1, 400):04d}", date, qty
+
+    def order_row(self, low, high):
+        r = self.rng
+        return r.randrange(low, high), f"A{r.randrange(10**6):06d}", r.choice(AGENCIES), r.choice(ITEMS), r.randint(1, 40)
+
+    def read(self, text):
+        """(SQLite's text, which columns are booleans), remembered by text; at most 2,000 texts."""
+        found = self.texts.get(text)
+        if found is None:
+            if len(self.texts) >= 2000:
+                self.texts.clear()
+            try:
+                found = self.texts[text] = to_sqlite(text)
+            except sqlglot.errors.SqlglotError as error:
+                raise EngineError("42601", f"syntax error: {error}") from None
+        return found
+
+    def run(self, shard, text, values):
+        """Runs one statement: (column names, rows in text format, rows touched)."""
+        sql, booleans = self.read(text)
+        try:
+            cursor = self.ranges[shard].execute(sql, values)
+            rows = [tuple(shown(v, n < len(booleans) and booleans[n]) for n, v in enumerate(row)) for row in cursor]
+        except sqlite3.IntegrityError as error:
+            raise EngineError("23505", f"duplicate key value violates unique constraint: {error}") from None
+        except sqlite3.OperationalError as error:
+            what = str(error)
+            if "user-defined function" in what:
+                raise EngineError("22012", "division by zero") from None
+            raise EngineError("42703" if "no such column" in what else "42P01" if "no such table" in what else "42601",
+                              what) from None
+        except (sqlite3.Error, OverflowError) as error:
+            raise EngineError("22000", str(error)) from None
+        return [d[0] for d in cursor.description or ()], rows, cursor.rowcount
+
+    def attempt(self, shard, statements, commit):
+        """Runs statements together: gives each one's outcome and keeps or undoes them."""
+        db, out = self.ranges[shard], []
+        db.execute("BEGIN")
+        try:
+            for text, values in statements:
+                if self.broken_keys and "INTO mothnotch_keys" in text:
+                    values = (f"{values[0]}/{self.rng.random()}", *values[1:])
+                out.append(self.run(shard, text, values))
+        except EngineError:
+            db.execute("ROLLBACK")
+            raise
+        db.execute("COMMIT" if commit else "ROLLBACK")
+        return out
+
+    def whole(self):
+        """One database with all rows: what an unsharded engine would answer from."""
+        db = database()
+        for part in self.ranges:
+            for table in TABLES:
+                for row in part.execute(f"SELECT * FROM {table}"):
+                    db.execute(f"INSERT INTO {table} VALUES ({','.join('?' * len(row))})", row)
+        return db
+
+
+def shown(value, boolean):
+    """A value in PostgreSQL's text format."""
+    if value is None:
+        return None
+    if boolean:
+        return b"t" if value else b"f"
+    if isinstance(value, float):
+        return (str(int(value)) if value.is_integer() and abs(value) < 1e15 else repr(value)).encode()
+    return value if isinstance(value, bytes) else str(value).encode()
