--- /dev/null
+++ b/mothnotch/audit/breaches.py
@@ -0,0 +1,115 @@
+"""Breaches planted on purpose, one a rule at least: the auditor has to catch each of them.
+
+They are switched on by a script's `breach` and reach into a root, or the leaves, the way a defect would.
+"""
+import dataclasses
+
+from mothnotch.decisions import interface as i
+from mothnotch.root.core import Attempt
+
+
+def plant(name, root):
+    """Breaks a root that has not started."""
+    if name:
+        ROOTS.get(name, lambda root: None)(root)
+
+
+def plant_leaves(name, day):
+    if name == "keys_dropped":
+        day.store.broken_keys = True
+
+
+def late_sends(root):
+    """Sends a part again after its query was answered."""
+    core, close = root.core, root.core.close
+
+    def closing(query, outcome):
+        close(query, outcome)
+        part = query.parts[0]
+        if part.sends and part.rows is not None:
+            server = next(iter(root.leaves.leaves))
+
+            class Late(Attempt):
+                def end(self, result, rows=None, report=None):
+                    self.ended = True
+
+                def hold(self, size):
+                    return False
+
+            core.nursery.start_soon(later, root, server, Late(core, part, 99, server, 500_000))
+
+    core.close = closing
+
+
+async def later(root, server, attempt):
+    import trio
+    await trio.sleep(0.05)
+    root.leaves.send(server, [attempt], root.core.nursery)
+
+
+def ignores_drains(root):
+    """Takes every leaf that is named for one that is up."""
+    news = root.core.news
+
+    def told(event):
+        news(dataclasses.replace(event, entries=tuple(dataclasses.replace(e, state="up") for e in event.entries)))
+
+    follow = root.leaves.follow
+    root.leaves.follow = lambda addresses: follow({**{n: x.address for n, x in root.leaves.leaves.items()}, **addresses})
+    root.core.news = told
+
+
+def half_as_whole(root):
+    """Answers from less than the class's least share, and says nothing of what is missing."""
+    settings = root.core.balancer.s
+    for name, kind in settings.classes.items():
+        if kind.repeat is i.Repeat.SAFE:
+            settings.classes[name] = dataclasses.replace(kind, floor=0.2, whole_at=0.5)
+
+
+def many_attempts(root):
+    """Knows of no budget, and copies early."""
+    s = root.core.balancer.s
+    rules = dataclasses.replace(s.rules, budget_share=None)
+    root.core.balancer.s = dataclasses.replace(s, rules=rules)
+    root.core.balancer.more.size = root.core.balancer.more.tokens = 10_000
+    root.core.balancer.burst = 0
+
+
+def no_cold(root):
+    """Takes a leaf that has just started for one long up."""
+    news = root.core.news
+    root.core.news = lambda event: news(dataclasses.replace(
+        event, entries=tuple(dataclasses.replace(e, started_us=0) for e in event.entries)))
+
+
+def silent(root):
+    """Does not pass on refusals: those clients hear nothing in time."""
+    root.core.on[i.Refuse] = root.core.on[i.GiveUp] = lambda action: None
+    root.core.guard = False
+
+
+def double(root):
+    """Answers every eighth statement twice."""
+    from mothnotch.fronts import pg
+    serve = root.front.client
+
+    async def client(stream):
+        made = pg.Client(root.front, stream)
+        run, count = made.on_execute, [0]
+
+        async def twice(event):
+            count[0] += 1
+            before = len(made.out)
+            await run(event)
+            if count[0] % 8 == 0:
+                made.out += made.out[before:]
+
+        made.on_execute = twice
+        await made.run()
+
+    del serve
+    root.front.client = client
+
+
+ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, half_as_whole, many_attempts, no_cold, silent, double)}
--- /dev/null
+++ b/mothnotch/audit/rules.py
@@ -0,0 +1,217 @@
+"""The six rules, each as a function from the record of a day to its breaches.
+
+The ids that clients put into their statements reach the leaves as bound values: so what a leaf saw is tied to
+what a client asked without a word of the root's.
+"""
+import bisect
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from mothnotch.decisions.interface import Rules as RuleFigures
+
+
+@dataclass(slots=True)
+class Ask:
+    """One thing a client asked, and what it got. Times in seconds of one clock."""
+    id: str
+    root: int
+    kind: str                       # class
+    writes: bool
+    at: float
+    limit_s: float                  # the client's time
+    shards: tuple = ()              # ranges it needs
+    ended: float | None = None
+    final: str = ""                 # answered, refused, failed, gone (the client left), lost (connection)
+    sqlstate: str = ""
+    finals: int = 0                 # answers that came
+    value: tuple | None = None      # what was read
+    expected: dict = field(default_factory=dict)    # range -> what that range alone gives
+    missing: tuple | None = None    # ranges that the answer said are missing; None: it said nothing
+    surplus: int = 0                # bytes that came after the final answer
+
+
+@dataclass(slots=True)
+class Record:
+    """A day, as clients and leaves saw it."""
+    asks: list = field(default_factory=list)
+    seen: list = field(default_factory=list)          # standins.leaf.Seen
+    told: list = field(default_factory=list)          # (time, leaf, state) of every roster written
+    effects: dict = field(default_factory=dict)       # id of a write -> rows found at the end
+    floors: dict = field(default_factory=dict)        # class -> least share
+    windows: dict = field(default_factory=dict)       # class -> seconds that repeats are dropped for
+    aims: dict = field(default_factory=dict)          # class -> seconds for full worth
+    worths: dict = field(default_factory=dict)
+    rules: RuleFigures | None = None
+    grace_s: float = 0.25                             # of a drain
+    slack_s: float = 0.0                              # what the machine may add to a time
+
+
+@dataclass(slots=True)
+class Verdict:
+    rule: str
+    checked: int
+    breaches: list
+
+
+def id_of(seen):
+    """The client's id that a leaf saw among the bound values, or None."""
+    for value in seen.values:
+        if isinstance(value, str) and value.startswith("id:"):
+            return value
+    return None
+
+
+def arrivals(record):
+    found = defaultdict(list)
+    for seen in record.seen:
+        if seen.what == "arrived":
+            key = id_of(seen)
+            if key is not None:
+                found[key].append(seen)
+    return found
+
+
+def one_answer(record):
+    """1: one final answer within the client's time, and nothing sent to a leaf after it."""
+    out, came = [], arrivals(record)
+    for ask in record.asks:
+        if ask.final == "gone":
+            end = ask.ended
+        elif ask.final in ("answered", "refused", "failed"):
+            end = ask.ended
+            if ask.finals != 1 or ask.surplus:
+                out.append(f"{ask.id}: {ask.finals} final answers, {ask.surplus} bytes after")
+            if end - ask.at > ask.limit_s + record.slack_s:
+                out.append(f"{ask.id}: answered after {end - ask.at:.3f} s of {ask.limit_s:.3f} s")
+        else:
+            out.append(f"{ask.id}: no final answer ({ask.final or 'none'})")
+            continue
+        for seen in came.get(ask.id, ()):
+            if seen.at > end + record.slack_s:
+                out.append(f"{ask.id}: sent to {seen.leaf} {seen.at - end:.3f} s after its final answer")
+    return Verdict("1 one final answer in time", len(record.asks), out)
+
+
+def no_effect_twice(record):
+    """2: no effect twice; an answered write took effect; a refused one did not; repeats only within the window."""
+    out, came, checked = [], arrivals(record), 0
+    committed = defaultdict(list)
+    for seen in record.seen:
+        if seen.what == "commit" and id_of(seen) is not None:
+            committed[id_of(seen)].append(seen.at)
+    for ask in record.asks:
+        if not ask.writes:
+            continue
+        checked += 1
+        n = record.effects.get(ask.id, 0)
+        if n > 1:
+            out.append(f"{ask.id}: took effect {n} times")
+        if ask.final == "answered" and n != 1:
+            out.append(f"{ask.id}: answered, and took effect {n} times")
+        if ask.final == "refused" and n:
+            out.append(f"{ask.id}: refused as harmless to ask again, and took effect")
+        times = sorted(seen.at for seen in came.get(ask.id, ()))
+        window = record.windows.get(ask.kind)
+        if committed.get(ask.id) and window is not None and times and times[-1] - times[0] > window + record.slack_s:
+            out.append(f"{ask.id}: sent again {times[-1] - times[0]:.3f} s after a send that may have run")
+    return Verdict("2 no effect twice", checked, out)
+
+
+def drains_kept(record):
+    """3: nothing new to a leaf later than the grace after the roster said that it drains or is gone."""
+    spans, out = defaultdict(list), []
+    for at, leaf, state in record.told:
+        spans[leaf].append((at, state))
+    checked = 0
+    for seen in record.seen:
+        if seen.what != "arrived" or id_of(seen) is None or seen.leaf not in spans:
+            continue
+        told = spans[seen.leaf]
+        n = bisect.bisect_right(told, seen.at, key=lambda pair: pair[0]) - 1
+        checked += 1
+        if n >= 0 and told[n][1] != "up":
+            since = told[n][0]
+            while n > 0 and told[n - 1][1] != "up":       # draining, then gone: told at the first
+                n -= 1
+                since = told[n][0]
+            if seen.at > since + record.grace_s + record.slack_s:
+                out.append(f"{id_of(seen)}: sent to {seen.leaf} {seen.at - since:.3f} s after it was told {told[n][1]}")
+    return Verdict("3 drains kept", checked, out)
+
+
+def none_pushed_over(record):
+    """4: no cold leaf pushed over."""
+    starts = sum(seen.what == "up" for seen in record.seen)
+    return Verdict("4 no cold leaf pushed over", starts,
+                   [f"{seen.leaf} fell over at {seen.at:.3f} s" for seen in record.seen if seen.what == "fell"])
+
+
+def honest(record):
+    """5: an answer is the sum of the ranges it does not name as missing, and those carry the class's least share."""
+    out, checked = [], 0
+    for ask in record.asks:
+        if ask.final != "answered" or ask.writes or ask.value is None:
+            continue
+        checked += 1
+        missing = ask.missing or ()
+        rows = [ask.expected[shard] for shard in ask.shards if shard not in missing]
+        expected = tuple(sum(row[n] for row in rows) for n in range(len(ask.value)))
+        if ask.value != expected:
+            out.append(f"{ask.id}: {ask.value} where {len(rows)} of {len(ask.shards)} ranges give {expected}")
+        share = 1 - len(missing) / len(ask.shards)
+        if share < record.floors.get(ask.kind, 1.0) - 1e-6:
+            out.append(f"{ask.id}: answered from {share:.2f} of its worth")
+    return Verdict("5 honest answers", checked, out)
+
+
+def budget_kept(record):
+    """6: in any window, a root's attempts beyond each part's first stay within the stated budget."""
+    if record.rules is None or record.rules.budget_share is None:
+        return Verdict("6 attempts within the budget", 0, [])
+    window, out, checked = record.rules.budget_window_us / 1e6, [], 0
+    roots = {ask.id: ask.root for ask in record.asks}
+    taken, further, first = defaultdict(list), defaultdict(list), set()
+    for ask in record.asks:
+        taken[ask.root] += [ask.at] * (1 + len(ask.shards))
+    for seen in sorted((s for s in record.seen if s.what == "arrived"), key=lambda s: s.at):
+        key = id_of(seen)
+        if key is None or key not in roots:
+            continue
+        checked += 1
+        if (key, seen.shard) in first:
+            further[roots[key]].append(seen.at)
+        first.add((key, seen.shard))
+    for root, times in further.items():
+        times.sort()
+        taken[root].sort()
+        for n, at in enumerate(times):
+            begun = at - window
+            sent = n + 1 - bisect.bisect_left(times, begun)
+            # What was taken a little before the window may have been counted by the root within it.
+            took = bisect.bisect_right(taken[root], at) - bisect.bisect_left(taken[root], begun - record.slack_s - 0.01)
+            allowed = record.rules.further_allowed(took)
+            if sent > allowed + 1e-9:
+                out.append(f"root {root}: {sent} further attempts in the {window:g} s up to {at:.3f} s, {allowed:.1f} allowed")
+    return Verdict("6 attempts within the budget", checked, out)
+
+
+RULES = (one_answer, no_effect_twice, drains_kept, none_pushed_over, honest, budget_kept)
+
+
+def judge(record):
+    """The six verdicts of a day."""
+    return [rule(record) for rule in RULES]
+
+
+def service(record):
+    """Worth answered within the aim over worth asked, by class and in all; clients that left are not counted."""
+    asked, got = defaultdict(float), defaultdict(float)
+    for ask in record.asks:
+        if ask.final == "gone":
+            continue
+        worth = record.worths.get(ask.kind, 1.0)
+        for name in (ask.kind, "all"):
+            asked[name] += worth
+            if ask.final == "answered" and ask.ended - ask.at <= record.aims.get(ask.kind, ask.limit_s):
+                got[name] += worth * (1 - len(ask.missing or ()) / max(1, len(ask.shards)))
+    return {name: got[name] / asked[name] for name in asked}
--- /dev/null
+++ b/mothnotch/badday/script.py
@@ -0,0 +1,107 @@
+"""The script of a bad day: JSON5, checked as a whole; and random ones, from a seed."""
+import random
+from typing import Literal
+
+import msgspec
+
+from mothnotch.config import ConfigError, Strict, decode
+
+KINDS = ("crash", "vanish", "hang", "slow", "shared_slow", "pauses", "fast_errors", "flapping", "deploy", "burst",
+         "discovery_stale", "retry_abuse", "hot_key", "idle_reap", "poison")
+
+
+class TroubleScript(Strict):
+    """One trouble. `leaves`: names, or how many of them; `factor`: of slowness or load; `share`: of failures."""
+    kind: str
+    at: float
+    lasts: float = msgspec.field(default=2.0, name="for")
+    leaves: int | list[str] = 1
+    factor: float = 8.0
+    share: float = 0.9
+
+
+class Load(Strict):
+    rate: float = 40.0                  # asks a second, all clients together, open loop
+    clients: int = 64                   # connections at most
+    mix: dict[str, float] = msgspec.field(default_factory=lambda: {"order-lookup": 0.6, "stock-search": 0.2,
+                                                                   "hold-set": 0.2})
+    transactions: float = 0.4           # of the writes: BEGIN ... COMMIT
+    leave: float = 0.02                 # clients that leave midway
+    cancel: float = 0.02
+    retry: float = 0.0                  # refused clients that ask again at once
+    timeout_ms: float = 1500.0          # the client's time
+
+
+class LeavesScript(Strict):
+    cores: int = 2
+    work_ms: float = 4.0
+    cold_from: float = 0.3
+    cold_s: float = 4.0
+    fall_multiple: float = 3.0
+    fall_s: float = 2.0
+
+
+class Script(Strict):
+    seconds: float = 10.0
+    roots: int = 2
+    rows: int = 20                      # of stock in a range
+    load: Load = Load()
+    leaves: LeavesScript = LeavesScript()
+    budget_share: float | None = 0.2
+    budget_free: int = 10
+    budget_window_s: float = 5.0
+    drain_grace_ms: float = 250.0
+    troubles: list[TroubleScript] = []
+    breach: Literal["", "late_sends", "keys_dropped", "ignores_drains", "half_as_whole", "many_attempts", "no_cold",
+                    "silent", "double"] = ""
+
+
+def load(text, path="script"):
+    """The checked script of a JSON5 text."""
+    script = decode(text, Script, path)
+    errors = []
+    for n, trouble in enumerate(script.troubles):
+        where = f"{path}: troubles[{n}]"
+        if trouble.kind not in KINDS:
+            errors.append(f"{where}.kind: {trouble.kind!r} is not one of {', '.join(KINDS)}")
+        if not 0 <= trouble.at < script.seconds:
+            errors.append(f"{where}.at: {trouble.at:g} s is not within the day's {script.seconds:g} s")
+        if not 0 <= trouble.share <= 1:
+            errors.append(f"{where}.share: must lie between 0 and 1")
+    if script.seconds <= 0 or script.load.rate <= 0 or script.roots < 1:
+        errors.append(f"{path}: seconds, load.rate and roots must be above 0")
+    for name in script.load.mix:
+        if name not in ("order-lookup", "stock-search", "hold-set"):
+            errors.append(f"{path}: load.mix: class {name!r} is not one of the sample's")
+    if errors:
+        raise ConfigError(errors)
+    return script
+
+
+def drawn(seed, seconds=4.0, rate=25.0, troubles=4):
+    """A random script: so many overlapping troubles of different kinds."""
+    r = random.Random(f"bad day {seed}")
+    found = []
+    for kind in r.sample(KINDS, troubles):
+        at = r.uniform(0.2, seconds * 0.6)
+        found.append(TroubleScript(kind, round(at, 3), round(r.uniform(0.3, seconds - at), 3),
+                                   1 if kind in ("crash", "vanish", "flapping") else r.randint(1, 3),
+                                   round(r.uniform(1.5, 2.5) if kind == "burst" else r.uniform(3, 12), 1),
+                                   round(r.uniform(0.4, 1.0), 2)))
+    budget = r.random() < 0.7
+    return Script(seconds, r.choice([1, 2, 3]), 8, Load(rate=rate, transactions=0.5, leave=0.04, cancel=0.04, retry=0.1,
+                                                       timeout_ms=r.choice([600.0, 1000.0, 1500.0])),
+                  LeavesScript(), 0.2 if budget else None, 10, 2.0, 250.0, found)
+
+
+DEFAULT = Script(
+    seconds=20.0, roots=2, load=Load(rate=40.0),
+    troubles=[
+        TroubleScript("slow", 1.0, 5.0, 1, 10.0), TroubleScript("fast_errors", 2.0, 4.0, 1, share=0.8),
+        TroubleScript("hang", 3.0, 4.0, ["leaf-5"]), TroubleScript("burst", 4.0, 3.0, 0, 2.0),
+        TroubleScript("crash", 6.0, 2.0, ["leaf-2"]), TroubleScript("pauses", 7.0, 4.0, 2),
+        TroubleScript("deploy", 8.0, 6.0, 3), TroubleScript("idle_reap", 10.0, 3.0, 8),
+        TroubleScript("flapping", 11.0, 4.0, ["leaf-7"]), TroubleScript("retry_abuse", 12.0, 3.0),
+        TroubleScript("discovery_stale", 12.0, 3.0), TroubleScript("poison", 14.0, 2.0),
+        TroubleScript("shared_slow", 16.0, 2.0, 8, 2.0), TroubleScript("vanish", 16.5, 2.0, ["leaf-1"]),
+    ])
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -119,6 +119,7 @@
                        "in_part": 0, "faults": 0, "overdue": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
+        self.guard = True                          # watches over the client's time; off only to test the auditor
 
     # ---- what fronts call ----
 
@@ -138,7 +139,7 @@
             self.parts[part.id] = part
             self.post(i.PartArrived(part.id, number, spec.shard, spec.weight, spec.cost_us))
         try:
-            with trio.move_on_at(request.deadline_us / 1e6):
+            with trio.move_on_at(request.deadline_us / 1e6 if self.guard else math.inf):
                 await query.done.wait()
             if query.outcome is None:
                 # The module ends every query before the client's time; should it ever not, the client still hears.
