--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -192,6 +192,11 @@
         print(f"  {verdict.rule:32} {verdict.checked:6} checked {len(verdict.breaches):4} broken")
         for line in verdict.breaches[:5]:
             print(f"      {line}")
+    for name in sorted({ask.kind for ask in record.asks}):
+        times = sorted(a.ended - a.at for a in record.asks if a.kind == name and a.final in ("answered", "refused", "failed"))
+        if times:
+            print(f"  {name:14} {len(times):5} ended, p50 {times[len(times) // 2] * 1000:6.0f} ms, "
+                  f"p99 {times[int(len(times) * 0.99)] * 1000:6.0f} ms, the client's time {day.load.timeout_ms:.0f} ms")
     print("service: " + ", ".join(f"{name} {share:.3f}" for name, share in sorted(service(record).items())))
     if any(verdict.breaches for verdict in verdicts):
         print(f"replay: bin/mothnotch badday {script or ''} --seed {seed}{' --drawn' if drawn else ''} --virtual")
--- a/mothnotch/config.py
+++ b/mothnotch/config.py
@@ -98,6 +98,7 @@
     most_connections: int = 1000
     message_limit: int = 1 << 20
     write_timeout_s: float = 30.0
+    idle_s: float = 3600.0
     merge_limit_bytes: int = 64 << 20
     plans: int = 512
     prepared: int = 256
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from mothnotch.fronts.session import DEFAULTS, FIXED, REPORTED, Session
+from mothnotch.fronts.session import DEFAULTS, FIXED, REPORTED, Session, duration_ms
 from mothnotch.net import serve, shut
 from mothnotch.pgwire import auth
 from mothnotch.pgwire import backend as b
@@ -84,7 +84,19 @@
                 return event
             await self.flush()
             self.room.set()
-            await self.more.wait()
+            seconds, sqlstate, text = self.patience()
+            with trio.move_on_after(seconds) as scope:
+                await self.more.wait()
+            if scope.cancelled_caught and not self.more.is_set():
+                raise ProtocolError(text, sqlstate)
+
+    def patience(self):
+        """(seconds a client may stay silent, and what it is told then)."""
+        limit = self.front.config.front.idle_s, "57P05", "terminating connection due to idle-session timeout"
+        inside = duration_ms(self.session.get("idle_in_transaction_session_timeout")) / 1000
+        if inside and self.session.transaction.status.value != b"I" and inside < limit[0]:
+            return inside, "25P03", "terminating connection due to idle-in-transaction timeout"
+        return limit
 
     async def flush(self):
         if self.out:
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -31,7 +31,8 @@
 class Connection:
     """An open, authenticated connection. `pid` and `secret` are for cancelling what runs on it."""
 
-    def __init__(self, stream, message_limit):
+    def __init__(self, stream, message_limit, address):
+        self.address = address
         self.stream, self.wire = stream, client.ClientConnection(message_limit)
         self.pid = self.secret = None
         self.idle_since = 0.0
@@ -80,16 +81,12 @@
     """Attempts of one call, pipelined, each with a Sync of its own: an error in one leaves the others alone."""
 
     def __init__(self, attempts):
-        self.attempts, self.at, self.error, self.rows = attempts, 0, None, Rows()
+        self.attempts, self.at, self.error, self.rows, self.over = attempts, 0, None, Rows(), False
 
     def begin(self):
         return b"".join(client.statement(a.payload.tag + a.payload.statement.sql, a.payload.statement.oids,
                                          a.payload.statement.values) + client.SYNC for a in self.attempts)
 
-    @property
-    def over(self):
-        return self.at == len(self.attempts)
-
     def lost(self, result):
         """The connection went: every attempt not answered ends so."""
         for attempt in self.attempts[self.at:]:
@@ -112,6 +109,7 @@
             else:
                 attempt.end(i.Result.OK, self.rows)
             self.at, self.error, self.rows = self.at + 1, None, Rows()
+            self.over = self.at == len(self.attempts)
         return b""
 
 
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -40,7 +40,7 @@
     """One leaf's connections."""
 
     def __init__(self, name, address):
-        self.name, self.address = name, address
+        self.name, self.address, self.takes_new = name, address, True
         self.idle, self.open, self.cancels = [], 0, 0
 
     def close_idle(self):
@@ -89,17 +89,21 @@
         self.network, self.settings, self.log, self.leaves = network, settings, log, {}
         self.counts = {"connects": 0, "connects_failed": 0, "cancels": 0, "calls": 0, "over_most": 0}
 
-    def follow(self, addresses):
-        """The roster's addresses, by name. A changed address closes what is idle at the old one."""
+    def follow(self, addresses, closing=()):
+        """The roster's addresses, by name, and the names that take nothing new. A changed address closes what is
+        idle at the old one; a name that is gone takes nothing new either, and its calls run out."""
         for name, address in addresses.items():
             leaf = self.leaves.get(name)
             if leaf is None:
-                self.leaves[name] = Leaf(name, address)
+                leaf = self.leaves[name] = Leaf(name, address)
             elif leaf.address != address:
                 leaf.close_idle()
                 leaf.address = address
+            leaf.takes_new = name not in closing
         for name in set(self.leaves) - set(addresses):
-            self.leaves.pop(name).close_idle()
+            leaf = self.leaves.pop(name)
+            leaf.takes_new = False
+            leaf.close_idle()
 
     def disconnect(self, name):
         if name in self.leaves:
@@ -135,7 +139,7 @@
         finally:
             connection = call.connection
             if connection is not None:
-                if clean and self.leaves.get(leaf.name) is leaf:
+                if clean and self.leaves.get(leaf.name) is leaf and connection.address == leaf.address:
                     connection.idle_since = trio.current_time()
                     leaf.idle.append(connection)
                 else:
@@ -147,10 +151,15 @@
 
     async def drive(self, call):
         """Runs a call to its end; true if its connection may be used again."""
-        exchange = call.exchange
+        leaf, exchange = call.leaf, call.exchange
         connection = self.idle(call) or await self.connect(call)
         if connection is None:
             return False
+        if not leaf.takes_new:
+            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
+            exchange.lost(i.Result.UNSENT)
+            exchange.over = True
+            return True
         stream, wire, out, sent = connection.stream, connection.wire, exchange.begin(), False
         while not exchange.over and call.live:
             with call.within():
@@ -199,7 +208,8 @@
                     call.scope = opening.cancel_scope
                     # The attempts' own time-outs go on while the connection is made.
                     opening.start_soon(self.watch, call, opening)
-                    connection = Connection(await self.network.open(leaf.address), s.message_limit)
+                    address = leaf.address
+                    connection = Connection(await self.network.open(address), s.message_limit, address)
                     await connection.open({"user": s.user, "database": s.database,
                                            "application_name": "mothnotch"}, s.password)
                     ready = True
--- a/mothnotch/root/roster.py
+++ b/mothnotch/root/roster.py
@@ -72,7 +72,8 @@
             return False
         self.version, self.present = self.version + 1, found
         # A leaf removed keeps its pool until its calls are through; a name without an address gets no new ones.
-        self.leaves.follow({leaf.name: leaf.address for leaf in found if leaf.state != "removed"})
+        self.leaves.follow({leaf.name: leaf.address for leaf in found if leaf.state != "removed"},
+                           {leaf.name for leaf in found if leaf.state != "up"})
         self.core.news(roster.news(found, self.version, now_us(), self.network.wall()))
         self.log.info("roster", version=self.version, up=sum(x.state == "up" for x in found), leaves=len(found))
         return True
--- a/tests/test_root_faults.py
+++ b/tests/test_root_faults.py
@@ -1,7 +1,9 @@
 """Faults that issue after issue must not bring back: stalls inside COMMIT, clients that leave, hung leaves, bad rosters."""
+import pytest
 import trio
 
 from mothnotch import demo
+from mothnotch.pgwire import backend as b
 from mothnotch.pgwire import client as wire
 from tests.virtual import play
 
@@ -219,3 +221,118 @@
         assert {e["state"] for e in world.fleet.roster(demo.CELLS)} == {"up"}
 
     play(test)
+
+
+def test_statement_waiting_for_its_connection_is_not_sent_to_a_leaf_told_draining_meanwhile():
+    async def test(world):
+        slow = world.fleet.leaves["leaf-2"]
+        opened = world.network.open
+
+        async def open_slowly(address):
+            if address == slow.s.address:
+                await trio.sleep(0.9)
+            return await opened(address)
+
+        world.network.open = open_slowly
+        c = await world.client()
+        await c.send(wire.query("SELECT count(*) FROM stock"))
+        await trio.sleep(0.1)
+        world.fleet.states["leaf-2"] = "draining"
+        world.tell()
+        reply = await c.reply()
+        assert reply.error is None and reply.rows == [[b"240"]]
+        await trio.sleep(2)
+        assert not [s for s in world.arrived("stock") if s.leaf == "leaf-2"]
+
+    play(test)
+
+
+def test_connection_to_an_old_address_is_not_kept_for_the_new_one():
+    async def test(world):
+        c = await world.client()
+        leaf = world.fleet.leaves["leaf-2"]
+        leaf.trouble.slow = 50
+        await c.send(wire.query("SELECT count(*) FROM stock"))
+        await trio.sleep(0.05)
+        old, new = leaf.s.address, "elsewhere:1"
+        world.network.listeners[new] = world.network.listeners[old]
+        leaf.s.address = new
+        world.tell()
+        assert (await c.reply()).error is None
+        await trio.sleep(1)
+        assert all(k.address == new for k in world.root.leaves.leaves["leaf-2"].idle)
+
+    play(test)
+
+
+def scripted(world, name, behave):
+    """Puts a leaf of a test's own making in the place of one: `behave(stream)` once it is ready for queries."""
+    async def client(stream):
+        try:
+            await stream.receive_some()
+            await stream.send_all(b.AUTH_OK + b.key_data(1, 2) + b.ready(b"I"))
+            await stream.receive_some()
+            await behave(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        stream.close()
+
+    async def serve():
+        listener = (await world.network.listen("scripted:1"))[0]
+        while True:
+            world.nursery.start_soon(client, await listener.accept())
+
+    world.nursery.start_soon(serve)
+    world.fleet.leaves[name].s.address = "scripted:1"
+    world.tell()
+
+
+async def half_a_row(stream):
+    await stream.send_all(b"1\0\0\0\4" + b"2\0\0\0\4" + b.data_row([b"100000"]) + b.data_row([b"77"])[:6])
+
+
+async def a_row_and_silence(stream):
+    await stream.send_all(b"1\0\0\0\4" + b"2\0\0\0\4" + b.data_row([b"100000"]))
+    await trio.sleep_forever()
+
+
+async def an_error_of_its_own(stream):
+    await stream.send_all(b.error(b.ErrorFields("ERROR", "XX000", "disk on fire")) + b.ready(b"I"))
+    await trio.sleep(1)
+
+
+async def nonsense(stream):
+    await stream.send_all(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+
+
+async def a_reset(stream):
+    pass
+
+
+@pytest.mark.parametrize("behave", [half_a_row, a_row_and_silence, an_error_of_its_own, nonsense, a_reset])
+def test_result_that_does_not_come_whole_is_asked_of_another_holder_and_nothing_of_it_is_merged(behave):
+    async def test(world):
+        c = await world.client()
+        await warm(c, 10)
+        scripted(world, "leaf-6", behave)
+        await trio.sleep(0.3)
+        for _ in range(12):
+            reply = await c.query("SELECT count(*) FROM stock")
+            assert reply.error is None and reply.rows == [[b"240"]], reply
+        assert world.root.leaves.leaves["leaf-6"].open <= 8
+
+    play(test)
+
+
+def test_silent_clients_are_closed_in_time():
+    async def test(world):
+        idle, inside = await world.client(), await world.client()
+        await inside.query("SET idle_in_transaction_session_timeout = '2s'")
+        await inside.query("BEGIN")
+        await trio.sleep(3)
+        assert len(world.root.front.clients) == 1
+        assert (await idle.query("SELECT 1")).error is None
+        await trio.sleep(11)
+        assert not world.root.front.clients
+
+    play(test, {"front": {"idle_s": 10.0}})
