--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -36,7 +36,7 @@
                 def hold(self, size):
                     return False
 
-            core.nursery.start_soon(later, root, server, Late(core, part, 99, server, 500_000))
+            root.leaves.nursery.start_soon(later, root, server, Late(core, part, 99, server, 500_000))
 
     core.close = closing
 
@@ -44,7 +44,7 @@
 async def later(root, server, attempt):
     import trio
     await trio.sleep(0.05)
-    root.leaves.send(server, [attempt], root.core.nursery)
+    root.leaves.send(server, [attempt])
 
 
 def ignores_drains(root):
--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -27,7 +27,7 @@
         self.core.clock = cpu
         name = f"{config.root.me}-{random(6).hex()}"
         self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
-        self.front = PgFront(self.service, config, log, random)
+        self.front = PgFront(self.service, config, network, log, random)
         self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
         self.addresses = []
 
@@ -35,20 +35,19 @@
         """Serves until cancelled; started once every address listens and the roster was read."""
         try:
             async with trio.open_nursery() as nursery:
+                await nursery.start(self.leaves.run)
                 await nursery.start(self.core.run)
                 self.watch.look()
                 nursery.start_soon(self.watch.run)
-                nursery.start_soon(self.leaves.sweep)
                 listeners = []
                 for address in self.config.listen:
                     listeners += await self.network.listen(address)
                 self.addresses = [self.network.name(listener) for listener in listeners]
-                nursery.start_soon(self.front.run, self.network, listeners, nursery)
+                nursery.start_soon(self.front.run, listeners, nursery)
                 self.log.info("serving", addresses=self.addresses)
                 task_status.started(self)
                 await trio.sleep_forever()
         finally:
-            self.leaves.close()
             self.log.info("stopped", **self.core.counts)
 
 
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -101,8 +101,10 @@
     async def flush(self):
         if self.out:
             data, self.out = bytes(self.out), bytearray()
-            with trio.fail_after(self.front.config.front.write_timeout_s):
-                await self.stream.send_all(data)
+            sent = self.front.network.send_now(self.stream, data)
+            if sent < len(data):
+                with trio.fail_after(self.front.config.front.write_timeout_s):
+                    await self.stream.send_all(data[sent:])
 
     def error(self, error, extended):
         fields = b.ErrorFields("ERROR", error.sqlstate, error.text, getattr(error, "detail", ""), error.hint)
@@ -246,6 +248,9 @@
                         self.out += self.ready()
             if len(self.out) > CHUNK:
                 await self.flush()
+            if kind is wire.Sync or kind is wire.Query:
+                # Statements that need no leaf never wait: a pipeline of them must not hold up everybody else.
+                await trio.lowlevel.checkpoint()
 
     def ready(self):
         return b.READY[self.session.transaction.status.value]
@@ -406,8 +411,8 @@
 class PgFront:
     """All connections of the front. `random(n)` gives n bytes for secrets, a seeded source under a virtual clock."""
 
-    def __init__(self, service, config, log, random=os.urandom):
-        self.service, self.config, self.log, self.random = service, config, log, random
+    def __init__(self, service, config, network, log, random=os.urandom):
+        self.service, self.config, self.network, self.log, self.random = service, config, network, log, random
         self.clients = {}
         self.verifiers = {}
         if config.auth.method != "trust":
@@ -426,8 +431,8 @@
         await Client(self, stream).farewell("53300", "sorry, too many clients already")
         shut(stream)
 
-    async def run(self, network, listeners, nursery):
-        await serve(network, listeners, self.client, nursery, self.config.front.most_connections, self.turn_away)
+    async def run(self, listeners, nursery):
+        await serve(listeners, self.client, nursery, self.config.front.most_connections, self.turn_away)
 
 
 __all__ = ["PgFront", "DEFAULTS", "FIXED"]
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -8,7 +8,6 @@
 from mothnotch.decisions import interface as i
 from mothnotch.decisions import outcomes, transactions
 from mothnotch.leaves.payload import Rows, affected
-from mothnotch.net import shut
 from mothnotch.pgwire import auth, client
 from mothnotch.pgwire.backend import ErrorFields
 
@@ -31,8 +30,8 @@
 class Connection:
     """An open, authenticated connection. `pid` and `secret` are for cancelling what runs on it."""
 
-    def __init__(self, stream, message_limit, address):
-        self.address = address
+    def __init__(self, stream, message_limit, leaf, address):
+        self.leaf, self.address, self.call, self.dead, self.rest = leaf, address, None, False, bytearray()
         self.stream, self.wire = stream, client.ClientConnection(message_limit)
         self.pid = self.secret = None
         self.idle_since = 0.0
@@ -73,9 +72,6 @@
             elif type(event) is client.Ready:
                 return
 
-    def close(self):
-        shut(self.stream)
-
 
 class ReadExchange:
     """Attempts of one call, pipelined, each with a Sync of its own: an error in one leaves the others alone."""
@@ -92,6 +88,10 @@
         for attempt in self.attempts[self.at:]:
             attempt.end(result)
 
+    def alone(self, attempt):
+        """Whether nothing else of it is waited for, so that its end is the exchange's."""
+        return all(a is attempt or a.ended for a in self.attempts)
+
     def take(self, event):
         """Takes one event; gives bytes to send (none here)."""
         attempt, kind = self.attempts[self.at], type(event)
@@ -146,6 +146,9 @@
             result = outcomes.before_commit(result)
         self.attempt.end(result)
 
+    def alone(self, attempt):
+        return True
+
     def take(self, event):
         """Takes one event; gives bytes to send: the next round's, or none."""
         kind = type(event)
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -1,11 +1,14 @@
 """Pools of connections to the leaves, and the calls that run over them.
 
 A call carries what one turn sends to one leaf: the reads of it pipelined on one connection, each write on one
-of its own. A connection carries one call at a time. Bounds: `most` connections a leaf, past which an attempt
-ends UNSENT at once and the module is asked again; `cancels` cancel connections a leaf at once, past which the
-connection is only closed.
+of its own. A connection carries one call at a time and has one task for as long as it lives, which reads; a call
+itself costs no task and no cancel scope: it is sent from the turn as far as the socket takes it, and its time-outs
+lie in one heap. Bounds: `most` connections a leaf, past which an attempt ends UNSENT at once and the module is
+asked again; `cancels` cancel connections a leaf at once, past which the connection is only closed; the heap holds
+what was sent within the longest time-out.
 """
-import contextlib
+import heapq
+import itertools
 import math
 from dataclasses import dataclass
 
@@ -43,18 +46,14 @@
         self.name, self.address, self.takes_new = name, address, True
         self.idle, self.open, self.cancels = [], 0, 0
 
-    def close_idle(self):
-        while self.idle:
-            self.idle.pop().close()
-            self.open -= 1
-
 
 class Call:
     """What one turn sends to one leaf, under way."""
 
-    def __init__(self, leaf, exchange):
-        self.leaf, self.exchange, self.connection = leaf, exchange, None
-        self.scope = None                # of the wait under way
+    def __init__(self, pool, leaf, exchange):
+        self.pool, self.leaf, self.exchange = pool, leaf, exchange
+        self.connection = None           # none while it is being made
+        self.scope = None                # of the making of a connection
         for attempt in exchange.attempts:
             attempt.call = self
 
@@ -64,22 +63,8 @@
 
     def dropped(self):
         """An attempt of it was called off: once nobody waits for any, it ends."""
-        if self.scope is not None and not self.live:
-            self.scope.cancel()
-
-    @contextlib.contextmanager
-    def within(self):
-        """Waits inside end at the first deadline of a live attempt; what has passed then is ended as it is due."""
-        with trio.CancelScope(deadline=min((a.deadline for a in self.live), default=-math.inf)) as self.scope:
-            yield
-        if self.scope.cancelled_caught:
-            now = trio.current_time()
-            late = [a for a in self.live if a.deadline <= now]
-            if len(late) == len(self.live):
-                self.exchange.lost(i.Result.TIMEOUT)
-            else:
-                for attempt in late:
-                    attempt.end(i.Result.TIMEOUT)
+        if not self.live:
+            self.pool.abandon(self)
 
 
 class Leaves:
@@ -88,6 +73,21 @@
     def __init__(self, network, settings, log):
         self.network, self.settings, self.log, self.leaves = network, settings, log, {}
         self.counts = {"connects": 0, "connects_failed": 0, "cancels": 0, "calls": 0, "over_most": 0}
+        self.deadlines, self.numbers, self.earlier = [], itertools.count(), trio.Event()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Runs until cancelled; every connection's task lives in its nursery."""
+        try:
+            async with trio.open_nursery() as self.nursery:
+                self.nursery.start_soon(self.time)
+                self.nursery.start_soon(self.sweep)
+                task_status.started()
+                await trio.sleep_forever()
+        finally:
+            for leaf in self.leaves.values():
+                self.close_idle(leaf)
+
+    # ---- the roster ----
 
     def follow(self, addresses, closing=()):
         """The roster's addresses, by name, and the names that take nothing new. A changed address closes what is
@@ -97,19 +97,25 @@
             if leaf is None:
                 leaf = self.leaves[name] = Leaf(name, address)
             elif leaf.address != address:
-                leaf.close_idle()
+                self.close_idle(leaf)
                 leaf.address = address
             leaf.takes_new = name not in closing
         for name in set(self.leaves) - set(addresses):
             leaf = self.leaves.pop(name)
             leaf.takes_new = False
-            leaf.close_idle()
+            self.close_idle(leaf)
 
     def disconnect(self, name):
         if name in self.leaves:
-            self.leaves[name].close_idle()
+            self.close_idle(self.leaves[name])
+
+    def close_idle(self, leaf):
+        for connection in list(leaf.idle):
+            self.lost(connection)
 
-    def send(self, name, attempts, nursery):
+    # ---- calls ----
+
+    def send(self, name, attempts):
         """Starts the calls that carry these attempts. Each attempt ends exactly once, whatever comes."""
         leaf = self.leaves.get(name)
         if leaf is None:
@@ -120,123 +126,197 @@
         exchanges = [ReadExchange(reads)] if reads else []
         exchanges += [WriteExchange([a]) for a in attempts if isinstance(a.payload, Write)]
         for exchange in exchanges:
-            nursery.start_soon(self.run, Call(leaf, exchange), nursery)
+            self.start(Call(self, leaf, exchange))
 
-    async def run(self, call, nursery):
+    def start(self, call):
         leaf, exchange = call.leaf, call.exchange
         self.counts["calls"] += 1
-        clean = False
-        try:
-            clean = await self.drive(call)
-        except Unanswered as error:
-            whose, result = outcomes.of_error(error.fields.sqlstate)
-            exchange.lost(result if whose is outcomes.Fault.SERVER else i.Result.REJECTED)
-        except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError,
-                ValueError) as error:
-            if isinstance(error, ProtocolError):
-                self.log.warning("leaf broke the protocol", leaf=leaf.name, error=str(error))
-            exchange.lost(i.Result.BROKEN if call.connection else i.Result.UNREACHABLE)
-        finally:
-            connection = call.connection
-            if connection is not None:
-                if clean and self.leaves.get(leaf.name) is leaf and connection.address == leaf.address:
-                    connection.idle_since = trio.current_time()
-                    leaf.idle.append(connection)
-                else:
-                    leaf.open -= 1
-                    if exchange.over or connection.pid is None or leaf.cancels >= self.settings.cancels:
-                        connection.close()
-                    else:
-                        nursery.start_soon(self.cancel, leaf, connection)
-
-    async def drive(self, call):
-        """Runs a call to its end; true if its connection may be used again."""
-        leaf, exchange = call.leaf, call.exchange
-        connection = self.idle(call) or await self.connect(call)
-        if connection is None:
-            return False
-        if not leaf.takes_new:
-            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
+        for attempt in exchange.attempts:
+            if not self.deadlines or attempt.deadline < self.deadlines[0][0]:
+                self.earlier.set()
+            heapq.heappush(self.deadlines, (attempt.deadline, next(self.numbers), attempt))
+        connection = self.take_idle(leaf)
+        if connection is not None:
+            self.begin(call, connection)
+        elif leaf.open >= self.settings.most:
+            self.counts["over_most"] += 1
             exchange.lost(i.Result.UNSENT)
-            exchange.over = True
-            return True
-        stream, wire, out, sent = connection.stream, connection.wire, exchange.begin(), False
-        while not exchange.over and call.live:
-            with call.within():
-                if out:
-                    # A send cut short leaves the leaf with half a message: then the connection is of no more use.
-                    sent = False
-                    await stream.send_all(out)
-                    out, sent = b"", True
-                while not exchange.over and call.live and not out:
-                    data = await stream.receive_some(1 << 16)
-                    if not data:
-                        raise EOFError("the leaf closed the connection")
-                    wire.receive(data)
-                    while not exchange.over and (event := wire.next_event()) is not None:
-                        out += exchange.take(event)
-            if not sent:
-                exchange.lost(i.Result.TIMEOUT)
-                return False
-        return exchange.over
-
-    def idle(self, call):
-        """An idle connection that still stands, or None."""
-        leaf = call.leaf
+        else:
+            leaf.open += 1
+            self.nursery.start_soon(self.connect, call)
+
+    def take_idle(self, leaf):
+        """An idle connection that still stands, the one used last; or None."""
         while leaf.idle:
-            connection = leaf.idle.pop()
+            connection = leaf.idle[-1]
             if not self.network.lost(connection.stream):
-                call.connection = connection
+                leaf.idle.pop()
                 return connection
-            connection.close()
-            leaf.open -= 1
+            self.lost(connection)
         return None
 
-    async def connect(self, call):
-        """A new connection; None where none could be had, or the call has ended meanwhile."""
-        leaf, s = call.leaf, self.settings
-        if leaf.open >= s.most:
-            self.counts["over_most"] += 1
+    def begin(self, call, connection):
+        if not call.leaf.takes_new:
+            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
             call.exchange.lost(i.Result.UNSENT)
-            return None
+            self.release(connection)
+            return
+        call.connection, connection.call = connection, call
+        self.push(connection, call.exchange.begin())
+
+    def push(self, connection, data):
+        """Sends what the socket takes at once; a task of its own sends the rest, if any."""
+        if connection.rest:
+            connection.rest += data
+            return
+        try:
+            n = self.network.send_now(connection.stream, data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.lost(connection)
+            return
+        if n < len(data):
+            connection.rest += data[n:]
+            self.nursery.start_soon(self.send_rest, connection)
+
+    async def send_rest(self, connection):
+        try:
+            while connection.rest and not connection.dead:
+                chunk = bytes(connection.rest)
+                await connection.stream.send_all(chunk)
+                del connection.rest[:len(chunk)]
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.lost(connection)
+
+    def release(self, connection):
+        """A call is through: the connection may be used again, where its leaf is still there."""
+        leaf = connection.leaf
+        connection.call, connection.idle_since = None, trio.current_time()
+        if self.leaves.get(leaf.name) is leaf and connection.address == leaf.address:
+            leaf.idle.append(connection)
+        else:
+            self.lost(connection)
+
+    async def reader(self, connection):
+        """The task of a connection: takes in what the leaf says until it is gone."""
+        try:
+            while True:
+                data = await connection.stream.receive_some(1 << 16)
+                if connection.dead:
+                    return
+                if not data:
+                    break
+                connection.wire.receive(data)
+                self.take(connection)
+                if connection.dead:
+                    return
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except (ProtocolError, ValueError, LookupError) as error:
+            self.log.warning("leaf broke the protocol", leaf=connection.leaf.name, error=str(error))
+        self.lost(connection)
+
+    def take(self, connection):
+        out = b""
+        while (event := connection.wire.next_event()) is not None:
+            call = connection.call
+            if call is None:                     # said unasked: its last words, or a half-read answer's rest
+                self.lost(connection)
+                return
+            out += call.exchange.take(event)
+            if call.exchange.over:
+                self.release(connection)
+        if out:
+            self.push(connection, out)
+
+    # ---- ends ----
+
+    def lost(self, connection):
+        """The connection is gone: what runs on it is BROKEN."""
+        if connection.dead:
+            return
+        self.bury(connection)
+        shut(connection.stream)
+        if connection.call is not None:
+            call, connection.call = connection.call, None
+            call.exchange.lost(i.Result.BROKEN)
+
+    def bury(self, connection):
+        connection.dead = True
+        connection.leaf.open -= 1
+        if connection in connection.leaf.idle:
+            connection.leaf.idle.remove(connection)
+
+    def abandon(self, call):
+        """Nobody waits for any of a call: its connection is never used again, and the leaf is asked to stop."""
+        connection = call.connection
+        if connection is None:
+            if call.scope is not None:
+                call.scope.cancel()
+            return
+        if connection.call is not call:
+            return
+        connection.call = None
+        self.bury(connection)
+        if connection.pid is None or call.leaf.cancels >= self.settings.cancels:
+            shut(connection.stream)
+        else:
+            self.nursery.start_soon(self.cancel, call.leaf, connection)
+
+    async def time(self):
+        """Ends attempts as their time passes."""
+        while True:
+            self.earlier = trio.Event()
+            with trio.move_on_at(self.deadlines[0][0] if self.deadlines else math.inf):
+                await self.earlier.wait()
+            now = trio.current_time()
+            while self.deadlines and self.deadlines[0][0] <= now:
+                _, _, attempt = heapq.heappop(self.deadlines)
+                if attempt.ended:
+                    continue
+                call = attempt.call
+                if call.connection is None:
+                    attempt.end(i.Result.UNREACHABLE)       # nothing has gone out
+                elif call.exchange.alone(attempt):
+                    call.exchange.lost(i.Result.TIMEOUT)
+                else:
+                    attempt.end(i.Result.TIMEOUT)
+                call.dropped()
+
+    # ---- connections ----
+
+    async def connect(self, call):
+        """Makes a connection for a call, and gives it to it."""
+        leaf, s, address = call.leaf, self.settings, call.leaf.address
         self.counts["connects"] += 1
-        leaf.open += 1
-        connection, ready = None, False
+        connection, ready, result = None, False, i.Result.UNREACHABLE
         try:
-            with trio.move_on_after(s.connect_timeout_s):
-                async with trio.open_nursery() as opening:
-                    call.scope = opening.cancel_scope
-                    # The attempts' own time-outs go on while the connection is made.
-                    opening.start_soon(self.watch, call, opening)
-                    address = leaf.address
-                    connection = Connection(await self.network.open(address), s.message_limit, address)
-                    await connection.open({"user": s.user, "database": s.database,
-                                           "application_name": "mothnotch"}, s.password)
-                    ready = True
-                    opening.cancel_scope.cancel()
-        except BaseExceptionGroup as group:
-            raise first_of(group) from None
+            with trio.move_on_after(s.connect_timeout_s) as call.scope:
+                connection = Connection(await self.network.open(address), s.message_limit, leaf, address)
+                await connection.open({"user": s.user, "database": s.database, "application_name": "mothnotch"},
+                                      s.password)
+                ready = True
+        except Unanswered as error:
+            whose, result = outcomes.of_error(error.fields.sqlstate)
+            if whose is outcomes.Fault.QUERY:
+                result = i.Result.REJECTED
+        except (OSError, EOFError, trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError, ValueError) as error:
+            if isinstance(error, ProtocolError):
+                self.log.warning("leaf broke the protocol", leaf=leaf.name, error=str(error))
         finally:
+            call.scope = None
             if not ready:
                 leaf.open -= 1
                 self.counts["connects_failed"] += 1
                 if connection is not None:
-                    connection.close()
+                    shut(connection.stream)
         if not ready:
-            call.exchange.lost(i.Result.UNREACHABLE)
-            return None
-        call.connection = connection
-        return connection
-
-    async def watch(self, call, nursery):
-        """Ends attempts whose time passes while no connection stands: they never ran."""
-        while call.live:
-            await trio.sleep_until(min(a.deadline for a in call.live))
-            now = trio.current_time()
-            for attempt in call.live:
-                if attempt.deadline <= now:
-                    attempt.end(i.Result.UNREACHABLE)
-        nursery.cancel_scope.cancel()
+            call.exchange.lost(result)
+            return
+        self.nursery.start_soon(self.reader, connection)
+        if call.live:
+            self.begin(call, connection)
+        else:
+            self.release(connection)
 
     async def cancel(self, leaf, connection):
         """Asks the leaf to stop what runs on a connection, and closes it. The connection is never used again, so
@@ -246,40 +326,22 @@
         stream = None
         try:
             with trio.move_on_after(CANCEL_S):
-                stream = await self.network.open(leaf.address)
+                stream = await self.network.open(connection.address)
                 await stream.send_all(client.cancel_request(connection.pid, connection.secret))
                 await stream.receive_some(1)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
             leaf.cancels -= 1
-            connection.close()
+            shut(connection.stream)
             if stream is not None:
                 shut(stream)
 
     async def sweep(self):
-        """Closes connections that nobody used for long, and those that leaves closed."""
+        """Closes connections that nobody used for long."""
         while True:
             await trio.sleep(SWEEP_S)
             before = trio.current_time() - self.settings.idle_s
             for leaf in self.leaves.values():
-                kept = []
-                for connection in leaf.idle:
-                    if connection.idle_since < before or self.network.lost(connection.stream):
-                        connection.close()
-                        leaf.open -= 1
-                    else:
-                        kept.append(connection)
-                leaf.idle = kept
-
-    def close(self):
-        for leaf in self.leaves.values():
-            leaf.close_idle()
-
-
-def first_of(group):
-    """The first error of a group that is one of ours; Cancelled and others pass whole."""
-    while isinstance(group, BaseExceptionGroup):
-        own = [e for e in group.exceptions if not isinstance(e, trio.Cancelled)]
-        group = own[0] if own else group.exceptions[0]
-    return group
+                for connection in [c for c in leaf.idle if c.idle_since < before]:
+                    self.lost(connection)
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -57,6 +57,13 @@
         found = listener.socket.getsockname()
         return f"unix:{found}" if isinstance(found, str) else f"{found[0]}:{found[1]}"
 
+    def send_now(self, stream, data):
+        """Sends what the socket takes at once; gives how many bytes that was. Not while a `send_all` runs."""
+        try:
+            return stream.socket._sock.send(data)       # trio has no call that sends without a checkpoint
+        except (BlockingIOError, InterruptedError):
+            return 0
+
     def lost(self, stream):
         """Whether an idle stream was closed by its peer, or holds bytes nobody asked for: seen without waiting."""
         try:
@@ -105,20 +112,23 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def send_now(self, data):
+        if self.closed:
+            raise trio.ClosedResourceError("this stream was closed")
+        if self.peer.closed:
+            raise trio.BrokenResourceError("the peer closed the connection")
+        room = max(0, self.limit - len(self.peer.buffer))
+        if room:
+            self.peer.buffer += data[:room]
+            self.peer._wake()
+        return min(room, len(data))
+
     async def send_all(self, data):
         await trio.lowlevel.checkpoint()
         data = bytes(data)
         while data:
-            if self.closed:
-                raise trio.ClosedResourceError("this stream was closed")
-            if self.peer.closed:
-                raise trio.BrokenResourceError("the peer closed the connection")
-            room = self.limit - len(self.peer.buffer)
-            if room > 0:
-                self.peer.buffer += data[:room]
-                data = data[room:]
-                self.peer._wake()
-            else:
+            data = data[self.send_now(data):]
+            if data:
                 await self.peer.changed.wait()
 
     async def wait_send_all_might_not_block(self):
@@ -199,11 +209,14 @@
     def name(self, listener):
         return listener.address
 
+    def send_now(self, stream, data):
+        return stream.send_now(data)
+
     def lost(self, stream):
         return stream.closed or stream.ended or stream.peer.closed or bool(stream.buffer)
 
 
-async def serve(network, listeners, handler, nursery, most=None, turned_away=None):
+async def serve(listeners, handler, nursery, most=None, turned_away=None):
     """Accepts until cancelled, one task of the nursery a connection. Past `most` at once, `turned_away(stream)`
     is run instead of the handler. A failed accept (no descriptors left) waits a little: it must not spin."""
     state = {"open": 0}
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -100,7 +100,7 @@
 
 
 class Core:
-    """The Balancer and its books. `leaves.send(server, attempts, nursery)` sends; `log` is a structlog logger.
+    """The Balancer and its books. `leaves.send(server, attempts)` sends; `log` is a structlog logger.
 
     Bounds: `most_queries` open at once, past which `ask` raises Full (nothing was taken); events that wait are
     bounded by those and by the attempts out, as each attempt ends once.
@@ -192,18 +192,17 @@
     # ---- the loop ----
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Runs until cancelled. Calls to leaves live in its nursery: they end with it."""
-        async with trio.open_nursery() as self.nursery:
-            task_status.started()
-            while True:
-                if not self.events:
-                    self.woken = trio.Event()
-                    # Two microseconds late rather than early: a wake-up before its time would be lost on the module.
-                    with trio.move_on_at((self.wakes[0] + 2) / 1e6 if self.wakes else math.inf):
-                        await self.woken.wait()
-                # One more pass of the scheduler, so that what became ready together shares a turn.
-                await trio.lowlevel.checkpoint()
-                self.turn()
+        """Runs until cancelled."""
+        task_status.started()
+        while True:
+            if not self.events:
+                self.woken = trio.Event()
+                # Two microseconds late rather than early: a wake-up before its time would be lost on the module.
+                with trio.move_on_at((self.wakes[0] + 2) / 1e6 if self.wakes else math.inf):
+                    await self.woken.wait()
+            # One more pass of the scheduler, so that what became ready together shares a turn.
+            await trio.lowlevel.checkpoint()
+            self.turn()
 
     def turn(self):
         now, events = now_us(), self.events
@@ -225,7 +224,7 @@
         self.sweep()
         for server, attempts in self.sends.items():
             if attempts:
-                self.leaves.send(server, attempts, self.nursery)
+                self.leaves.send(server, attempts)
         self.sends = {}
 
     # ---- actions ----
--- a/mothnotch/standins/leaf.py
+++ b/mothnotch/standins/leaf.py
@@ -106,7 +106,7 @@
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.reap)
-                    nursery.start_soon(serve, self.network, listeners, self.client, nursery,
+                    nursery.start_soon(serve, listeners, self.client, nursery,
                                        self.s.most_connections, self.turn_away)
             finally:
                 self.up = False
