--- a/mothnotch/fronts/session.py
+++ b/mothnotch/fronts/session.py
@@ -289,9 +289,9 @@
             error.detail = e.detail
             raise error
 
-    def bound(self, plan, parameters, shard):
+    def bound(self, plan, parameters, shard, values=None):
         """The statement as one range's leaf gets it."""
-        values, oids = plan.values(parameters), plan.oids
+        values, oids = plan.values(parameters) if values is None else values, plan.oids
         if not plan.rows:
             low, high = self.service.schema.range(shard)
             values += (str(low).encode(), str(high).encode())
@@ -304,11 +304,11 @@
 
     def specs(self, plan, parameters, shards, sql=None):
         weights, cost = requests.weights(shards), self.service.costs.hint(plan.shape, plan.tables)
-        out = []
+        values, out = plan.values(parameters), []
         for shard, weight in zip(shards, weights, strict=True):
-            statement = self.bound(plan, parameters, shard)
+            statement = self.bound(plan, parameters, shard, values)
             if sql is not None:
-                statement = Statement(sql, statement.oids, statement.values)
+                statement.sql = sql
             out.append(PartSpec(shard, weight, cost, Read(statement, tag_of(shard))))
         return out
 
--- a/mothnotch/leaves/payload.py
+++ b/mothnotch/leaves/payload.py
@@ -2,7 +2,7 @@
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Statement:
     """One statement with its bound values: `values` are in text format (bytes or None), `oids` their types."""
     sql: str
@@ -10,7 +10,7 @@
     values: tuple = ()
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Read:
     """A statement without effect. Several of them may share a call."""
     statement: Statement
--- a/mothnotch/pgwire/client.py
+++ b/mothnotch/pgwire/client.py
@@ -52,43 +52,43 @@
     return parse("", sql, oids) + bind("", "", (), bound, ()) + EXECUTE
 
 
-# ---- what comes back ----
+# ---- what comes back; made by the thousand, so not frozen, which would cost a call a field ----
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Auth:
     """0 is OK, 10 to 12 are SASL's steps."""
     code: int
     rest: bytes
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class KeyData:
     pid: int
     secret: int
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Columns:
     columns: list
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Row:
     values: list
     size: int                   # bytes of the message
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Complete:
     tag: str
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Failed:
     fields: b.ErrorFields
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ready:
     status: str
 
@@ -97,7 +97,7 @@
     """The reading side of a connection to a server. Messages that say nothing to a root (completions, notices,
     settings) are passed over; an unknown one is a ProtocolError."""
 
-    QUIET = frozenset((b"1", b"2", b"3", b"n", b"N", b"S", b"A", b"s", b"I", b"t", b"v"))
+    QUIET = frozenset(b"123nNSAsItv")           # type bytes
 
     def __init__(self, message_limit):
         self.framer = Framer(message_limit, startup=False)
@@ -106,28 +106,40 @@
         self.framer.feed(data)
 
     def next_event(self):
-        while True:
-            found = self.framer.next()
-            if found is None:
-                return None
-            if found[0] not in self.QUIET:
-                return self.read(*found)
+        # The framer's work, done in place: a root reads five messages for each part, and three of them are quiet.
+        framer = self.framer
+        buffer, at, limit, quiet = framer.buffer, framer.at, framer.limit, self.QUIET
+        size = len(buffer)
+        while size - at >= 5:
+            length = INT32.unpack_from(buffer, at + 1)[0]
+            if length < 4 or length > limit:
+                framer.at = at
+                framer.next()                    # says what is wrong
+            end = at + 1 + length
+            if end > size:
+                break
+            kind, start, at = buffer[at], at + 5, end
+            if kind not in quiet:
+                framer.at = at
+                return self.read(kind, bytes(buffer[start:end]))
+        framer.at = at
+        return None
 
     def read(self, kind, body):
-        if kind == b"D":
+        if kind == 0x44:                         # D
             return Row(b.read_data_row(body), len(body))
-        if kind == b"C":
+        if kind == 0x43:                         # C
             return Complete(Reader(body, "CommandComplete").string())
-        if kind == b"Z":
+        if kind == 0x5a:                         # Z
             return Ready(Reader(body, "ReadyForQuery").byte().decode("latin-1"))
-        if kind == b"E":
+        if kind == 0x45:                         # E
             return Failed(b.read_fields(body))
-        if kind == b"T":
+        if kind == 0x54:                         # T
             return Columns(b.read_row_description(body))
-        if kind == b"R":
+        if kind == 0x52:                         # R
             r = Reader(body, "Authentication")
             return Auth(r.int32(), r.rest())
-        if kind == b"K":
+        if kind == 0x4b:                         # K
             r = Reader(body, "BackendKeyData")
             return KeyData(r.uint32(), r.uint32())
-        raise ProtocolError(f"message type {kind!r} is not one a server sends here")
+        raise ProtocolError(f"message type {bytes([kind])!r} is not one a server sends here")
--- a/mothnotch/root/request.py
+++ b/mothnotch/root/request.py
@@ -4,7 +4,7 @@
 from mothnotch.decisions.outcomes import Final
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class PartSpec:
     """One shard's share of a request. `payload` is for the leaf's driver alone; the core never looks into it."""
     shard: int
