--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -162,6 +162,9 @@
             self.release(connection)
             return
         call.connection, connection.call = connection, call
+        went = int(trio.current_time() * 1e6)
+        for attempt in call.exchange.attempts:
+            attempt.went_us = went
         self.push(connection, call.exchange.begin())
 
     def push(self, connection, data):
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -23,11 +23,13 @@
 class Attempt:
     """One send of a part. The leaf's driver collects into `rows` and calls `end` once; a later call does nothing."""
 
-    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "rows", "size", "ended", "call", "core")
+    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "went_us", "rows", "size", "ended", "call",
+                 "core")
 
     def __init__(self, core, part, n, server, limit_us):
         self.core, self.part, self.n, self.server, self.limit_us = core, part, n, server, limit_us
         self.sent_us, self.rows, self.size, self.ended, self.call = now_us(), None, 0, False, None
+        self.went_us = self.sent_us                # when its bytes went out
 
     @property
     def payload(self):
@@ -55,7 +57,8 @@
         if self.ended:
             return
         self.ended = True
-        took = now_us() - self.sent_us
+        # Told from when it went out: what making a connection took says nothing of how quickly the leaf works.
+        took = now_us() - self.went_us
         if result is i.Result.OK:
             self.part.rows, self.part.took_us = rows, took
         elif not self.part.query.outcome:
