--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -60,6 +60,18 @@
     root.core.news = told
 
 
+def late_news(root):
+    """Acts on what the catalogue told it half a second late."""
+    publish = root.watch.publish
+
+    async def later():
+        import trio
+        await trio.sleep(0.5)
+        publish()
+
+    root.watch.publish = lambda: root.leaves.nursery.start_soon(later)
+
+
 def half_as_whole(root):
     """Answers from less than the class's least share, and says nothing of what is missing."""
     settings = root.core.balancer.s
@@ -110,4 +122,4 @@
     root.front.client = client
 
 
-ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, half_as_whole, many_attempts, no_cold, silent, double)}
+ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, late_news, half_as_whole, many_attempts, no_cold, silent, double)}
--- a/mothnotch/audit/rules.py
+++ b/mothnotch/audit/rules.py
@@ -35,7 +35,7 @@
     """A day, as clients and leaves saw it."""
     asks: list = field(default_factory=list)
     seen: list = field(default_factory=list)          # standins.leaf.Seen
-    told: list = field(default_factory=list)          # (time, leaf, state) of every roster written
+    told: list = field(default_factory=list)          # (time, leaf, state, root; None: all) of all news
     effects: dict = field(default_factory=dict)       # id of a write -> rows found at the end
     floors: dict = field(default_factory=dict)        # class -> least share
     windows: dict = field(default_factory=dict)       # class -> seconds that repeats are dropped for
@@ -117,16 +117,25 @@
     return Verdict("2 no effect twice", checked, out)
 
 
+def told_spans(record):
+    """(leaf, root) -> [(time, state)] of what a root was told; root None: every root."""
+    spans = defaultdict(list)
+    for at, leaf, state, root in record.told:
+        spans[leaf, root].append((at, state))
+    return spans
+
+
 def drains_kept(record):
-    """3: nothing new to a leaf later than the grace after the roster said that it drains or is gone."""
-    spans, out = defaultdict(list), []
-    for at, leaf, state in record.told:
-        spans[leaf].append((at, state))
-    checked = 0
+    """3: nothing new to a leaf later than the grace after the root was told that it drains or is gone."""
+    spans, out, checked = told_spans(record), [], 0
+    roots = {ask.id: ask.root for ask in record.asks}
     for seen in record.seen:
-        if seen.what != "arrived" or id_of(seen) is None or seen.leaf not in spans:
+        key = id_of(seen)
+        if seen.what != "arrived" or key is None:
+            continue
+        told = spans.get((seen.leaf, roots.get(key))) or spans.get((seen.leaf, None))
+        if not told:
             continue
-        told = spans[seen.leaf]
         n = bisect.bisect_right(told, seen.at, key=lambda pair: pair[0]) - 1
         checked += 1
         if n >= 0 and told[n][1] != "up":
@@ -135,10 +144,31 @@
                 n -= 1
                 since = told[n][0]
             if seen.at > since + record.grace_s + record.slack_s:
-                out.append(f"{id_of(seen)}: sent to {seen.leaf} {seen.at - since:.3f} s after it was told {told[n][1]}")
+                out.append(f"{key}: sent to {seen.leaf} {seen.at - since:.3f} s after it was told {told[n][1]}")
     return Verdict("3 drains kept", checked, out)
 
 
+def departures(record):
+    """(root, leaf, told at, seconds from then to the last new part that the root sent there; 0 if none came) of each
+    departure that a root was told of, until it was told that the leaf is up again."""
+    arrived = defaultdict(list)
+    roots = {ask.id: ask.root for ask in record.asks}
+    for seen in record.seen:
+        if seen.what == "arrived" and id_of(seen) in roots:
+            arrived[seen.leaf, roots[id_of(seen)]].append(seen.at)
+    out = []
+    for (leaf, root), told in told_spans(record).items():
+        times, since = arrived[leaf, root], None
+        for n, (at, state) in enumerate([*told, (float("inf"), "up")]):
+            if state == "up" and since is not None:
+                late = [t for t in times if since < t < at]
+                out.append((root, leaf, since, max(late) - since if late else 0.0))
+                since = None
+            elif state != "up" and since is None and n:
+                since = at
+    return out
+
+
 def none_pushed_over(record):
     """4: no cold leaf pushed over."""
     starts = sum(seen.what == "up" for seen in record.seen)
--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -16,7 +16,9 @@
 
 from mothnotch import demo, logs, net
 from mothnotch.audit import breaches
+from mothnotch.audit.news import told_by_catalogue
 from mothnotch.audit.rules import Ask, Record
+from mothnotch.badday.catalogue import CatalogueNews, CatalogueTroubles
 from mothnotch.daemon import Root
 from mothnotch.root.roster import MemoryRoster
 from mothnotch.standins.client import Client, Lost
@@ -29,8 +31,8 @@
 END_S = 3.0                     # after the last ask: what is under way ends, late sends show
 
 
-def configuration(script, me, roster):
-    """A root's configuration for the day, as plain JSON."""
+def configuration(script, me, roster, consul=None):
+    """A root's configuration for the day, as plain JSON; its list comes from a roster file or from Consul."""
     load = script.load
     classes = {name: dict(figures) for name, figures in demo.CONFIG["classes"].items()}
     for figures in classes.values():
@@ -42,12 +44,13 @@
     if script.budget_share is not None:
         rules |= {"budget_share": script.budget_share, "budget_free": script.budget_free,
                   "budget_window_s": script.budget_window_s}
-    return {**demo.CONFIG, "roster": roster, "classes": classes, "rules": rules, "seed": 100 + me,
+    source = {"roster": roster} if consul is None else {"roster": None, "consul": consul}
+    return {**demo.CONFIG, **source, "classes": classes, "rules": rules, "seed": 100 + me,
             "root": {"roots": script.roots, "me": me, "zone": demo.ZONES[me % 2]},
             "log": {"format": "json", "level": "warning"}, "leaves": {"connect_timeout_ms": 300.0}}
 
 
-class Day:
+class Day(CatalogueTroubles):
     """One day under way."""
 
     def __init__(self, script, seed, network, slack_s):
@@ -65,24 +68,37 @@
         s = script.leaves
         self.store, self.leaves = demo.leaves(
             network, self.record.seen.append, seed=seed, rows=script.rows, cores=s.cores, work_ms=s.work_ms,
-            cold_from=s.cold_from, cold_s=s.cold_s, fall_multiple=s.fall_multiple, fall_s=s.fall_s)
+            cold_from=s.cold_from, cold_s=s.cold_s, fall_multiple=s.fall_multiple, fall_s=s.fall_s,
+            count=s.count)
         self.schema = c.schema()
         self.load, self.retry, self.hot, self.stale = 1.0, script.load.retry, False, False
         self.idle, self.open, self.numbers = {}, 0, 0
         self.rosters, self.addresses = [], []
+        self.news = CatalogueNews(self, script.consul) if script.consul is not None else None
 
     # ---- roster ----
 
     def tell(self):
         """Writes the roster to every root, unless discovery is stale."""
+        if self.news is not None:
+            self.news.tell()
+            return
         if self.stale:
             return
         now = trio.current_time()
         for name, state in self.fleet.states.items():
             if not self.told or self.told.get(name) != state:
-                self.record.told.append((now, name, state))
+                self.record.told.append((now, name, state, None))
                 self.told[name] = state
         text = demo.roster_text(self.fleet)
+        if self.script.news_late_s and trio.current_time() > 0:
+            self.life.start_soon(self.tell_late, text)
+            return
+        for write in self.rosters:
+            write(text)
+
+    async def tell_late(self, text):
+        await trio.sleep(self.script.news_late_s)
         for write in self.rosters:
             write(text)
 
@@ -194,6 +210,9 @@
         self.load /= t.factor
 
     async def do_discovery_stale(self, t, names):
+        if self.news is not None:
+            await self.do_consul_lag(t, names)
+            return
         self.stale = True
         await trio.sleep(t.lasts)
         self.stale = False
@@ -359,7 +378,10 @@
         """`start_roots(day, nursery)` starts the roots, filling in `rosters` and `addresses`."""
         async with trio.open_nursery() as life:
             self.fleet, self.told = Fleet(self.leaves, life), {}
+            self.life = life
             await self.fleet.start(self.script.leaves.fresh)
+            if self.news is not None:
+                await self.news.start(life)
             await start_roots(self, life)
             async with trio.open_nursery() as self.nursery:
                 for trouble in self.script.troubles:
@@ -370,6 +392,8 @@
                 for client in idle:
                     client.close()
             life.cancel_scope.cancel()
+        if self.news is not None:
+            self.record.told = told_by_catalogue(self.news.answers)
         for db in self.store.ranges:
             for order_id, n in db.execute("SELECT order_id, count(*) FROM holds GROUP BY order_id"):
                 self.record.effects[order_id] = self.record.effects.get(order_id, 0) + n
@@ -378,9 +402,11 @@
 
 async def roots_in_memory(day, life):
     for me in range(day.script.roots):
-        source = MemoryRoster(demo.roster_text(day.fleet))
-        day.rosters.append(lambda text, source=source: setattr(source, "text", text))
-        config = demo.config(**configuration(day.script, me, "roster.json5"))
+        source = None
+        if day.news is None:
+            source = MemoryRoster(demo.roster_text(day.fleet))
+            day.rosters.append(lambda text, source=source: setattr(source, "text", text))
+        config = demo.config(**configuration(day.script, me, "roster.json5", day.news and day.news.config()))
         seeded = random.Random(f"root {day.seed} {me}")
         root = Root(config, day.network, logs.silent(), source, seed=day.seed * 100 + me, random=seeded.randbytes)
         breaches.plant(day.script.breach, root)
@@ -421,7 +447,7 @@
             write(demo.roster_text(day.fleet))
             day.rosters.append(write)
             config = folder / f"root-{me}.json5"
-            config.write_text(json.dumps(configuration(day.script, me, roster.name)))
+            config.write_text(json.dumps(configuration(day.script, me, roster.name, day.news and day.news.config())))
             process = subprocess.Popen([sys.executable, "-m", "mothnotch", "serve", "--config", str(config)],
                                        stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, text=True)
             processes.append(process)
--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -10,6 +10,18 @@
          "discovery_stale", "retry_abuse", "hot_key", "idle_reap", "poison", "lost_answers")
 
 
+# Troubles of the catalogue, for days with `consul`.
+CONSUL_KINDS = ("consul_slow", "consul_silent", "consul_errors", "consul_garbage", "consul_hidden", "consul_lag",
+                "consul_crash", "consul_wipe", "health_flapping", "depart")
+
+
+class ConsulScript(Strict):
+    """The roster comes from a stand-in Consul of so many agents, of which a root watches `follow`."""
+    agents: int = 3
+    follow: int = 2
+    wait_s: float = 5.0
+
+
 class TroubleScript(Strict):
     """One trouble. `leaves`: names, or how many of them; `factor`: of slowness or load; `share`: of failures."""
     kind: str
@@ -33,6 +45,7 @@
 
 
 class LeavesScript(Strict):
+    count: int = 8
     cores: int = 2
     work_ms: float = 4.0
     cold_from: float = 0.3
@@ -52,9 +65,11 @@
     budget_free: int = 10
     budget_window_s: float = 5.0
     drain_grace_ms: float = 250.0
+    news_late_s: float = 0.0            # the roster is told to roots so late
+    consul: ConsulScript | None = None
     troubles: list[TroubleScript] = []
     breach: Literal["", "late_sends", "keys_dropped", "ignores_drains", "half_as_whole", "many_attempts", "no_cold",
-                    "silent", "double"] = ""
+                    "silent", "double", "late_news"] = ""
 
 
 def load(text, path="script"):
@@ -63,12 +78,15 @@
     errors = []
     for n, trouble in enumerate(script.troubles):
         where = f"{path}: troubles[{n}]"
-        if trouble.kind not in KINDS:
-            errors.append(f"{where}.kind: {trouble.kind!r} is not one of {', '.join(KINDS)}")
+        kinds = KINDS if script.consul is None else KINDS + CONSUL_KINDS
+        if trouble.kind not in kinds:
+            errors.append(f"{where}.kind: {trouble.kind!r} is not one of {', '.join(kinds)}")
         if not 0 <= trouble.at < script.seconds:
             errors.append(f"{where}.at: {trouble.at:g} s is not within the day's {script.seconds:g} s")
         if not 0 <= trouble.share <= 1:
             errors.append(f"{where}.share: must lie between 0 and 1")
+    if script.leaves.count < 8:
+        errors.append(f"{path}: leaves.count: the sample's ranges need 8 at least")
     if script.seconds <= 0 or script.load.rate <= 0 or script.roots < 1:
         errors.append(f"{path}: seconds, load.rate and roots must be above 0")
     for name in script.load.mix:
@@ -92,7 +110,26 @@
     budget = r.random() < 0.7
     return Script(seconds, r.choice([1, 2, 3]), 8, Load(rate=rate, transactions=0.5, leave=0.04, cancel=0.04, retry=0.1,
                                                        timeout_ms=r.choice([600.0, 1000.0, 1500.0])),
-                  LeavesScript(), 0.2 if budget else None, 10, 2.0, 250.0, found)
+                  LeavesScript(), 0.2 if budget else None, 10, 2.0, 250.0, 0.0, None, found)
+
+
+def drawn_departures(seed, seconds=4.0, rate=30.0):
+    """A random day with a catalogue: leaves that depart by whatever means, troubles of the agents, of health checks
+    and of the leaves themselves, all at once."""
+    r = random.Random(f"departures {seed}")
+
+    def trouble(kind, leaves=1, factor=None, last=seconds * 0.7):
+        at = r.uniform(0.3, last)
+        return TroubleScript(kind, round(at, 3), round(r.uniform(0.3, seconds - at), 3), leaves,
+                             round(r.uniform(1, 10) if factor is None else factor, 1), round(r.uniform(0.4, 1.0), 2))
+
+    agents = r.choice([1, 2, 3])
+    found = [trouble("depart", r.choice([1, 1, 1, 2, 4])) for _ in range(2)]
+    found += [trouble(kind, r.randint(1, agents)) for kind in r.sample(CONSUL_KINDS[:8], 2)]
+    found += [trouble("health_flapping", 1)] if r.random() < 0.5 else []
+    found += [trouble(r.choice(("deploy", "slow", "hang", "pauses", "crash", "burst", "fast_errors")), 1, r.uniform(2, 6))]
+    return Script(seconds, r.choice([1, 2, 3]), 8, Load(rate=rate, transactions=0.4, timeout_ms=r.choice([1000.0, 1500.0])),
+                  LeavesScript(), 0.2, 10, 2.0, 250.0, 0.0, ConsulScript(agents, r.randint(1, min(2, agents)), 2.0), found)
 
 
 # Kinds of trouble of a bench day, as a socket can show them: (kind here, what `size` is).
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -214,6 +214,20 @@
         benches.run(Path(folder), rosters, seconds, clients, profile)
 
 
+@app.command
+def study(name: str, *, days: int = 500, seed: int = 0, sockets: bool = False):
+    """Run a measurement that the docs give: departures, silence, flapping, watch-cpu, staleness, watchers.
+
+    For departures: so many --days from --seed on, in virtual time or over --sockets; status 1 if one broke a rule or
+    saw a new part later than 250 ms after the root was told.
+    """
+    from mothnotch.studies.catalogue import STUDIES
+    if name not in STUDIES:
+        failed([f"no study {name!r}; there are {', '.join(STUDIES)}"])
+    if not (STUDIES[name](days, sockets, seed) if name == "departures" else STUDIES[name]() is not False):
+        sys.exit(1)
+
+
 @app.command
 def example():
     """Print a configuration to start from."""
--- a/mothnotch/demo.py
+++ b/mothnotch/demo.py
@@ -41,13 +41,15 @@
     return found
 
 
-def leaves(network, record, store=None, seed=1, rows=250, address="127.0.0.1:0", **settings):
-    """(store, leaves) of the demo fleet. Range n is held by the leaves of cells n and n + 1."""
+def leaves(network, record, store=None, seed=1, rows=250, address="127.0.0.1:0", count=CELLS,
+           **settings):
+    """(store, leaves) of the demo fleet. Range n is held by the leaves of cells n and n + 1; leaf n stands in cell n,
+    modulo the cells."""
     conf = config()
     store = store or Store(conf.bounds(), seed, rows)
     made = []
-    for n in range(CELLS):
-        shards = frozenset(s for s in range(SHARDS) if any((s + j) % CELLS == n for j in range(REACH)))
+    for n in range(count):
+        shards = frozenset(s for s in range(SHARDS) if any((s + j) % CELLS == n % CELLS for j in range(REACH)))
         made.append(Leaf(LeafSettings(f"leaf-{n}", address, ZONES[n % 2], shards, **settings), store, network, record,
                          seed))
     return store, made
