--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -78,8 +78,11 @@
 
 @app.command
 def leaves(*, roster: Path, listen: str = "127.0.0.1", seed: int = 1, rows: int = 250, work_ms: float = 2.0,
-           parent: int = 0, only: int | None = None):
-    """Run the demo's stand-in leaves, or one `only`, writing their roster file. Ends with its parent, if named."""
+           parent: int = 0, only: int | None = None, consul: str | None = None):
+    """Run the demo's stand-in leaves, or one `only`, writing their roster file. Ends with its parent, if named.
+
+    With --consul ADDRESS a stand-in Consul agent listens there, at which the leaves are registered.
+    """
     from mothnotch.standins.leaf import Fleet
 
     async def watch(scope):
@@ -99,8 +102,12 @@
                 await fleet.start()
             else:
                 await nursery.start(made[only].run)
+            text = demo_fleet.roster_text(fleet)
+            if consul is not None:
+                agent = await demo_fleet.start_agent(net.SocketNetwork(), fleet, consul, nursery)
+                text = json.dumps({"agent": agent.address})
             whole = roster.with_suffix(".new")
-            whole.write_text(demo_fleet.roster_text(fleet))
+            whole.write_text(text)
             whole.rename(roster)
 
     trio.run(run)
@@ -126,10 +133,15 @@
 
 
 @app.command
-def demo(*, listen: str = "127.0.0.1:0", seed: int = 1, rows: int = 250, work_ms: float = 2.0):
-    """Stand-in leaves and a root on loopback, with sample tables; prints postgresql://... once it serves."""
+def demo(*, listen: str = "127.0.0.1:0", seed: int = 1, rows: int = 250, work_ms: float = 2.0, consul: bool = False):
+    """Stand-in leaves and a root on loopback, with sample tables; prints postgresql://... once it serves.
+
+    With --consul the root takes its list from a stand-in Consul agent, where the leaves and the root are registered;
+    its address is printed, and any client of Consul's can mark a leaf there.
+    """
     try:
-        found = demo_fleet.config(listen=[listen], seed=seed, log={"format": "console", "level": "warning"})
+        log = {"format": "console", "level": "info" if consul else "warning"}
+        found = demo_fleet.config(listen=[listen], seed=seed, log=log)
     except ValueError as error:
         failed(str(error).splitlines())
 
@@ -142,13 +154,20 @@
                         raise RuntimeError(f"the leaves ended with status {process.returncode}")
                     await trio.sleep(0.05)
             from mothnotch.root.roster import FileRoster
-            log = logs.logger(found.log.format, found.log.level)
-            root = await nursery.start(Root(found, net.SocketNetwork(), log, FileRoster(roster)).run)
+            log, conf, source = logs.logger(found.log.format, found.log.level), found, FileRoster(roster)
+            if consul:
+                agent = json.loads(roster.read_text())["agent"]
+                conf, source = demo_fleet.with_consul(found, agent, str(roster.with_name("last-list.db"))), None
+            root = await nursery.start(Root(conf, net.SocketNetwork(), log, source).run)
             print(f"postgresql://demo@{root.addresses[0]}/stock  (tables stock, orders, holds; "
                   f"{demo_fleet.SHARDS} bin ranges on {demo_fleet.CELLS} leaves; Ctrl-C ends it)", flush=True)
+            if consul:
+                print(f"http://{agent}  a stand-in Consul agent; to drain a leaf:\n"
+                      f"  curl -X PUT 'http://{agent}/v1/agent/service/maintenance/leaf-3?enable=true'", flush=True)
 
     with tempfile.TemporaryDirectory(prefix="mothnotch-") as folder:
-        with leaf_processes(folder, seed=seed, rows=rows, work_ms=work_ms) as (roster, process):
+        more = {"consul": "127.0.0.1:0"} if consul else {}
+        with leaf_processes(folder, seed=seed, rows=rows, work_ms=work_ms, **more) as (roster, process):
             try:
                 trio.run(run, roster, process)
             except* OSError as group:
--- a/mothnotch/consul/agent.py
+++ b/mothnotch/consul/agent.py
@@ -64,7 +64,10 @@
         while True:
             event = http.next_event()
             if event is h11.NEED_DATA:
-                http.receive_data(await self.stream.receive_some(CHUNK))
+                data = await self.stream.receive_some(CHUNK)
+                if not data and not status:
+                    raise EOFError("closed without an answer")
+                http.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 found = {k.decode("latin-1").lower(): v.decode("latin-1") for k, v in event.headers}
--- a/mothnotch/demo.py
+++ b/mothnotch/demo.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from mothnotch.config import Config, check
+from mothnotch.standins.consul import Catalogue, ConsulAgent
 from mothnotch.standins.leaf import Leaf, LeafSettings
 from mothnotch.standins.store import Store
 
@@ -55,5 +56,23 @@
     return store, made
 
 
+def with_consul(found, agent, held):
+    """That configuration, its list from an agent."""
+    return config(**{**msgspec.to_builtins(found), "roster": None, "consul": {
+        "agents": [agent], "service": "stock-leaf", "held": held, "register": {}}})
+
+
+async def start_agent(network, fleet, address, nursery):
+    """A stand-in Consul agent with the fleet's leaves registered at it."""
+    catalogue = Catalogue()
+    agent = await nursery.start(ConsulAgent(catalogue, network, address, "demo").run)
+    nursery.start_soon(catalogue.run)
+    for entry in fleet.roster(CELLS):
+        host, _, port = entry["address"].rpartition(":")
+        agent.register({"Name": "stock-leaf", "ID": entry["name"], "Address": host, "Port": int(port), "Meta": {
+            "cell": str(entry["cell"]), "zone": entry["zone"], "started": f"{entry['started']:.3f}"}})
+    return agent
+
+
 def roster_text(fleet):
     return json.dumps(fleet.roster(CELLS), indent=1)
--- a/mothnotch/store/lastlist.py
+++ b/mothnotch/store/lastlist.py
@@ -14,6 +14,7 @@
 from mothnotch.decisions.membership import Held
 
 KEPT = 2
+DAMAGE = (sqlite3.DatabaseError, UnicodeDecodeError, OverflowError)     # what a damaged file makes of a call
 FORMAT = 1
 
 
@@ -53,7 +54,7 @@
                     db.execute("COMMIT")
             finally:
                 db.close()
-        except sqlite3.DatabaseError as error:
+        except DAMAGE as error:
             if not isinstance(error, sqlite3.OperationalError):
                 self.set_aside()                     # damaged: the next save begins anew
             raise OSError(f"{self.path}: {error}") from None
@@ -68,7 +69,7 @@
                 rows = db.execute("SELECT saved, of, at, body, sum FROM lists ORDER BY n DESC").fetchall()
             finally:
                 db.close()
-        except sqlite3.DatabaseError as error:
+        except DAMAGE as error:
             self.set_aside()
             return None, 0, 0.0, f"{error}; set aside as {self.path}.broken"
         wrong = ""
--- a/mothnotch/studies/catalogue.py
+++ b/mothnotch/studies/catalogue.py
@@ -230,7 +230,7 @@
     items = [(roots, leaves, change) for change in (0.0, 1.0) for leaves in (10, 130) for roots in (1, 10, 75)]
     print("roots | leaves | changes/s | requests/s a root | KB/s a root | lists told in 60 s")
     for roots, leaves, change, requests, size, heard in parallel(watchers, items):
-        print(f"{roots:5} | {leaves:6} | {0 if not change else 1 / change:9.0f} | {requests:.2f} | {size / 1024:.1f} | {heard:.0f}")
+        print(f"{roots:5} | {leaves:6} | {1 / change if change else 0:9.0f} | {requests:.2f} | {size / 1024:.1f} | {heard:.0f}")
 
 
 STUDIES = {"departures": study_departures, "silence": study_silence, "flapping": study_flapping,
