--- a/mothnotch/audit/rules.py
+++ b/mothnotch/audit/rules.py
@@ -149,8 +149,8 @@
 
 
 def departures(record):
-    """(root, leaf, told at, seconds from then to the last new part that the root sent there; 0 if none came) of each
-    departure that a root was told of, until it was told that the leaf is up again."""
+    """(root, leaf, told at, seconds from then to the last new part that the root sent there; 0 if none came; whether it
+    had sent there in the second before) of each departure that a root was told of, until told that the leaf is up."""
     arrived = defaultdict(list)
     roots = {ask.id: ask.root for ask in record.asks}
     for seen in record.seen:
@@ -162,7 +162,8 @@
         for n, (at, state) in enumerate([*told, (float("inf"), "up")]):
             if state == "up" and since is not None:
                 late = [t for t in times if since < t < at]
-                out.append((root, leaf, since, max(late) - since if late else 0.0))
+                out.append((root, leaf, since, max(late) - since if late else 0.0,
+                            any(since - 1 <= t <= since for t in times)))
                 since = None
             elif state != "up" and since is None and n:
                 since = at
--- a/mothnotch/decisions/membership.py
+++ b/mothnotch/decisions/membership.py
@@ -13,7 +13,8 @@
 3.  What an answer marks as draining takes nothing new from that moment, however many those are.
 4.  What a whole answer does not name any more is gone at once, up to a share of the list. Past it the answer is
     doubted: consistent answers settle it. An answer that names nobody, that was filtered by an access list or that
-    could not be read in part says nothing of what it lacks.
+    could not be read in part says nothing of what it lacks. What is held for such a reason stays while the root's
+    own connections hear from it, and goes soon after they fail.
 5.  Health takes leaves off at once and lets them back when they are calm (penalties as in RFC 2439). It never takes
     off more than a share of the list, nor the last holder of a range: then the module judges by its own attempts.
 6.  A leaf is a new process, cold, if its address, its stated start or, without one, its registration is new. Its
@@ -45,7 +46,7 @@
     health: bool = True                              # critical checks take leaves off
     critical_most: float = 0.5                       # ... up to this share of the list
     shrink: float = 0.3                              # an answer that lacks more than this share is doubted
-    hold_us: int = 1_800_000_000                     # what a doubted answer lacks is held so long at most
+    hold_us: int = 1_800_000_000                     # what a doubted answer lacks is held so long after its last word
     gone_us: int = 10_000_000                        # ... or until the root's own connections failed for so long
     skew_s: float = 2.0                              # how far clocks of machines may lie apart
     most: int = 10_000                               # instances followed; more are left out
@@ -206,12 +207,12 @@
             m.calm(now)
             if m.absent_us is None:
                 continue
-            met = own.get(m.name)
-            if met is not None and met.failing(now, self.s.gone_us) and now - m.absent_us > self.s.gone_us:
+            met = own.get(m.name) or Own()
+            if met.failing(now, self.s.gone_us) and now - m.absent_us > self.s.gone_us:
                 self.note("warning", "a held leaf does not answer either; it is taken off", leaf=m.name)
                 del self.members[m.name]
-            elif now - m.absent_us > self.s.hold_us:
-                self.note("warning", "a held leaf was not named again in time; it is taken off", leaf=m.name)
+            elif now - max(m.absent_us, met.answered_us or 0) > self.s.hold_us:
+                self.note("warning", "a held leaf was neither named again nor heard of; it is taken off", leaf=m.name)
                 del self.members[m.name]
 
     def next_us(self):
--- a/mothnotch/decisions/polling.py
+++ b/mothnotch/decisions/polling.py
@@ -8,7 +8,7 @@
 
 WAIT_SPREAD = 0.25               # of the wait, drawn anew for each query, so that roots do not ask in step
 SLACK_S = 2.0                    # on top of the longest wait an agent may take, before it counts as silent
-PATIENCE = 4                     # ... doubled with every round of failures, so often at most
+PATIENCE = 2                     # ... doubled with every round of failures, so often at most
 BURST, RATE = 20.0, 10.0         # answers taken at once; a second, past which the next query waits
 RETRY_AFTER_MOST_S = 30.0
 STUCK_S = 0.5                    # an agent that answers at once without anything new is asked again then
--- a/mothnotch/studies/catalogue.py
+++ b/mothnotch/studies/catalogue.py
@@ -45,18 +45,19 @@
 
 def study_departures(days=500, sockets=False, seed=0):
     """Random days with departures: how long after a root was told did the last new part reach the leaf."""
-    times, asks, failed = [], 0, []
+    times, asks, failed, busy = [], 0, [], 0
     for n, found, broken, count, _ in parallel(one_day, [(k, sockets) for k in range(seed, seed + days)],
                                                2 if sockets else None):
-        times += [late for *_, late in found]
+        times += [late for _, _, _, late, _ in found]
+        busy += sum(sent for *_, sent in found)
         asks += count
         failed += [f"seed {n}: {line}" for line in broken]
         failed += [f"seed {n}: root {root} sent to {leaf} {late:.3f} s after it was told"
-                   for root, leaf, _, late in found if late > 0.25]
+                   for root, leaf, _, late, _ in found if late > 0.25]
     ms = [1000 * t for t in times]
-    print(f"{days} days {'over sockets' if sockets else 'in virtual time'}, {asks} asks, {len(ms)} departures told; last new "
-          f"part after the root was told: p50 {quantile(ms, 0.5):.1f} ms, p99 {quantile(ms, 0.99):.1f} ms, "
-          f"max {max(ms, default=0):.1f} ms")
+    print(f"{days} days {'over sockets' if sockets else 'in virtual time'}, {asks} asks, {len(ms)} departures told ({busy} of "
+          f"leaves that the root had sent to in the second before); last new part after the root was told: "
+          f"p50 {quantile(ms, 0.5):.1f} ms, p99 {quantile(ms, 0.99):.1f} ms, max {max(ms, default=0):.1f} ms")
     for line in failed:
         print(f"  broken: {line}")
     return not failed
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -148,7 +148,9 @@
     assert len(up(m)) == 8
     m.tick(15 * S, own)
     assert up(m) == [0, 3, 4, 5, 6, 7]
-    m.tick(101 * S, own)
+    m.tick(102 * S, own)
+    assert up(m) == [3]                                    # heard of later than the others
+    m.tick(116 * S, own)
     assert up(m) == []
 
 
