Starts of leaves outlive the root; bin/mothnotch members shows what each agent says

Change: the list on disk carries the start as taken; members prints each agent's index, leader and instances. Measured: tests for each.

--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -233,6 +233,17 @@
         benches.run(Path(folder), rosters, seconds, clients, profile)
 
 
+@app.command
+def members(*, config: Path):
+    """Print what each of the configuration's Consul agents says of the leaves, and what a root would make of it."""
+    from mothnotch.consul.look import look
+    found = loaded(config)
+    if found.consul is None:
+        failed([f"{config}: consul: is not stated; the roster is the file {found.roster}"])
+    for line in trio.run(look, found, net.SocketNetwork()):
+        print(line)
+
+
 @app.command
 def study(name: str, *, days: int = 500, seed: int = 0, sockets: bool = False):
     """Run a measurement that the docs give: departures, silence, flapping, watch-cpu, staleness, watchers.
--- a/mothnotch/consul/watch.py
+++ b/mothnotch/consul/watch.py
@@ -127,7 +127,7 @@
             await word.wait()
 
     def take(self, answer, digest):
-        if digest == self.digest and not self.failed_told:
+        if digest == self.digest and not self.failed_told and self.membership.blind_us is None:
             return                                   # a wait that ran out with nothing new
         if self.membership.answer(now_us(), self.network.wall(), answer):
             self.digest = digest
@@ -229,8 +229,8 @@
             self.changed = trio.Event()
             if self.membership.live:
                 try:
-                    await self.network.work(self.store.save, self.membership.held(), self.membership.index,
-                                            self.network.wall())
+                    await self.network.work(self.store.save, self.membership.held(now_us(), self.network.wall()),
+                                            self.membership.index, self.network.wall())
                 except OSError as error:
                     self.log.error("the list cannot be put to disk", error=str(error))
             await trio.sleep(SAVE_S)
--- a/mothnotch/decisions/membership.py
+++ b/mothnotch/decisions/membership.py
@@ -87,7 +87,8 @@
 
 @dataclass(slots=True, frozen=True)
 class Held:
-    """One leaf as the last list held on disk has it. `started` in seconds of the wall clock; None: long ago."""
+    """One leaf as the last list held on disk has it. Seconds of the wall clock: `started` as it states it, `since` as
+    the root took it; None: not stated, or long ago."""
     name: str
     address: str
     zone: str
@@ -96,6 +97,7 @@
     weight: float
     started: float | None
     create: int = 0
+    since: float | None = None
 
 
 @dataclass(slots=True)
@@ -151,6 +153,7 @@
         self.s, self.members, self.doubt = settings, {}, None
         self.index, self.index_us, self.life, self.dead = 0, 0, 0, 0
         self.live = False                            # an agent's answer was taken since the start
+        self.begun = False                           # from a list on disk
         self.blind_us = None                         # nobody has told anything since then
         self.told_us = 0                             # when an answer was taken last
         self.departed = deque()                      # times at which leaves went, lately
@@ -160,11 +163,11 @@
 
     def begin(self, held, index, now, wall_s):
         """Begins from the last list held on disk."""
-        self.index, self.index_us, self.blind_us = index, now, now
+        self.index, self.index_us, self.blind_us, self.begun = index, now, now, True
         for h in held[:self.s.most]:
             m = self.members[h.name] = Member(h.name)
             m.address, m.zone, m.cell, m.told, m.weight, m.create = h.address, h.zone, h.cell, h.state, h.weight, h.create
-            m.started, m.started_us = h.started, self.start_of(h.started, now, wall_s)
+            m.started, m.started_us = h.started, self.start_of(h.since, now, wall_s)
 
     def failed(self, now):
         """An agent gave no answer that could be used."""
@@ -361,8 +364,10 @@
 
     def new_start(self, started, now, wall_s):
         """The start of a process just told of. The root would have heard of it at once if it was not blind."""
-        if not self.live:
-            return self.start_of(started, now, wall_s)
+        if not self.live and not self.begun:
+            return self.start_of(started, now, wall_s)       # the first list of all: what it states is all there is
+        if not self.live and started is not None:
+            return self.start_of(started, now, wall_s)       # new since the list on disk, however old that is
         since = now if self.blind_us is None else self.blind_us
         return now if started is None else max(since, self.start_of(started, now, wall_s))
 
@@ -396,9 +401,10 @@
     def addresses(self):
         return {name: m.address for name, m in self.members.items()}
 
-    def held(self):
+    def held(self, now, wall_s):
         """What is to be held on disk: told states, not damped ones."""
-        return [Held(m.name, m.address, m.zone, m.cell, m.told, m.weight, m.started, m.create)
+        return [Held(m.name, m.address, m.zone, m.cell, m.told, m.weight, m.started, m.create,
+                     wall_s - (now - m.started_us) / 1e6 if m.started_us else None)
                 for _, m in sorted(self.members.items())]
 
     def note(self, level, text, **details):
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from mothnotch import demo, logs, net
+from mothnotch.consul.look import look
 from mothnotch.daemon import Root
 from mothnotch.decisions import interface as i
 from mothnotch.standins.client import Client
@@ -60,7 +61,7 @@
 ALL = {f"node-{n}/leaf" for n in range(8)}
 
 
-def play(test, **consul):
+def play(test, prepare=lambda world: None, **consul):
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(1)
     world = World()
@@ -76,6 +77,7 @@
                 await nursery.start(agent.run)
             for n in range(8):
                 world.leaf_in(n)
+            prepare(world)
             await world.start_root(nursery, **consul)
             await test(world)
             nursery.cancel_scope.cancel()
@@ -288,3 +290,33 @@
         assert 600 / 60 < more < 600
 
     play(test)
+
+
+def test_token_and_filter_go_with_every_query():
+    async def test(world):
+        assert world.up() == ALL - {"node-3/leaf"}
+        async with trio.open_nursery() as nursery:
+            await world.start_root(nursery, token="wrong", first_s=1.0)
+            assert not world.root.watch.entries
+            nursery.cancel_scope.cancel()
+
+    def lock(world):
+        for agent in world.agents:
+            agent.token = "s3"
+
+    play(test, prepare=lock, token="s3", filter='Service.Meta.cell != "3"')
+
+
+def test_look_says_what_each_agent_says():
+    async def test(world):
+        world.agents[1].faults.status = 500
+        world.agents[2].lag(True)
+        world.catalogue.maintenance("node-3", True)
+        world.leaf_in(4, meta={"cell": "x"})
+        lines = await look(world.root.config, world.network)
+        text = "\n".join(lines)
+        assert "consul:8501: status 500" in text and "consul:8502: index" in text and "NOT known" in text
+        assert [line for line in lines if "node-3/leaf" in line][0].endswith("told draining, passing; taken as draining")
+        assert "node-4/leaf" in text and "not usable" in text
+
+    play(test)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -214,6 +214,13 @@
     assert started(m, 1) == 604 * S
 
 
+def test_agent_that_failed_before_the_first_list_makes_nobody_cold():
+    m = member()
+    m.failed(1 * S)
+    m.answer(2 * S, WALL, answer(1, ALL))
+    assert {e.started_us for e in m.entries(0)} == {0}
+
+
 def test_registration_in_a_new_life_is_not_a_new_process_by_itself():
     m = member()
     m.answer(1 * S, WALL, answer(50, ALL))
@@ -243,6 +250,20 @@
     assert m.kind is i.News.FULL and up(m) == list(range(8))
 
 
+def test_starts_outlive_the_root_and_what_changed_while_it_was_down_is_cold():
+    m = member()
+    m.answer(100 * S, WALL, answer(1, ALL))
+    m.answer(110 * S, WALL + 10, answer(2, [*ALL[1:], leaf(0, create=2)]))       # registered anew, states no start
+    held = m.held(115 * S, WALL + 15)
+    again = member()
+    again.begin(held, 2, 50 * S, WALL + 17)
+    start = {e.server: e.started_us for e in again.entries(0)}
+    assert start["node-0/leaf"] == 45 * S and start["node-1/leaf"] == 0          # 7 s ago, less what clocks may differ
+    again.answer(51 * S, WALL + 18, answer(3, [*ALL[2:], leaf(0, create=2), leaf(1, create=3)]))
+    start = {e.server: e.started_us for e in again.entries(0)}
+    assert (start["node-0/leaf"], start["node-2/leaf"]) == (45 * S, 0) and start["node-1/leaf"] >= 50 * S
+
+
 def histories(seed):
     """(answers of one life in order, truth): leaves come, drain, flap, go and return."""
     r = random.Random(seed)
