Long answers are read in smaller turns; one compressor for all runs; figures of merging

Cause: beside a hog that sorts a whole table, lookups were refused (49 of 1,167) as each pass of the loop read 64 KB of 24 parts; 256 parts merged within 64 MB took 79, each run having a compressor of its own.

--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -17,7 +17,7 @@
 
 READ_AHEAD = 1 << 18             # bytes of a client's that may wait while a statement of its runs
 MOST_PORTALS = 64
-STREAM_ROWS = 512                # of a long answer taken at once
+STREAM_ROWS = 128                # of a long answer taken at once
 CHUNK = 1 << 17                  # bytes of rows put together before they are sent
 
 
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -24,6 +24,7 @@
 from mothnotch.pgwire.framing import ProtocolError
 
 CANCEL_S = 1.0                   # a cancel request that has not gone through by then is given up
+READ = 1 << 14                   # bytes read at once: more of a long answer would hold up all other queries
 SWEEP_S = 1.0                    # how often idle connections are looked at
 
 
@@ -220,7 +221,7 @@
         """The task of a connection: takes in what the leaf says until it is gone."""
         try:
             while True:
-                data = await connection.stream.receive_some(1 << 16)
+                data = await connection.stream.receive_some(READ)
                 if connection.dead:
                     return
                 if not data:
--- a/mothnotch/merge/runs.py
+++ b/mothnotch/merge/runs.py
@@ -10,7 +10,8 @@
 
 BLOCK_ITEMS = 512                # items of a block, at most
 BLOCK_BYTES = 1 << 16            # bytes of a block as counted by whoever fills it, about
-LEVEL = 1
+# One of each for the process, which uses them from one thread: a context takes a quarter of a megabyte.
+PACKER, UNPACKER = zstandard.ZstdCompressor(level=1), zstandard.ZstdDecompressor()
 
 
 class SpillError(Exception):
@@ -22,7 +23,6 @@
 
     def __init__(self, room, directory=None):
         self.room, self.blocks, self.size, self.count = room, [], 0, 0
-        self.packer, self.unpacker = zstandard.ZstdCompressor(level=LEVEL), zstandard.ZstdDecompressor()
         try:
             self.file = tempfile.TemporaryFile(dir=directory, buffering=0)
         except OSError as error:
@@ -30,7 +30,7 @@
 
     def put(self, items):
         """Writes one block."""
-        data = self.packer.compress(pickle.dumps(items, 5))
+        data = PACKER.compress(pickle.dumps(items, 5))
         if not self.room.disk(len(data)):
             raise SpillError("the share of the disk is spent")
         try:
@@ -55,7 +55,7 @@
                     if not more:
                         raise SpillError("a run ends early")
                     data += more
-                yield pickle.loads(self.unpacker.decompress(data))
+                yield pickle.loads(UNPACKER.decompress(data))
             except (OSError, zstandard.ZstdError, pickle.UnpicklingError, ValueError) as error:
                 raise SpillError(f"a run cannot be read: {error}") from None
 
--- a/mothnotch/studies/merging.py
+++ b/mothnotch/studies/merging.py
@@ -95,7 +95,7 @@
 
 async def phase(address, seconds, clients, hogs):
     """Latencies of the lookups of so many clients beside so many hogs, and rows that the hogs got."""
-    times, rows, network = [], [0], net.SocketNetwork()
+    times, rows, errors, network = [], [0], {}, net.SocketNetwork()
 
     async def small(n):
         client, r = Client(network, address, "desk"), random.Random(n)
@@ -104,6 +104,8 @@
             bin, begun = r.randrange(2400), time.perf_counter()
             reply = await client.query(f"SELECT count(*), sum(qty) FROM orders WHERE bin = {bin}")
             times.append(1000 * (time.perf_counter() - begun) if reply.error is None else math.inf)
+            if reply.error is not None:
+                errors[reply.error.sqlstate] = errors.get(reply.error.sqlstate, 0) + 1
             await trio.sleep(0.05)
 
     async def hog():
@@ -120,7 +122,7 @@
             for _ in range(hogs):
                 nursery.start_soon(hog)
     times.sort()
-    return times, rows[0]
+    return times, rows[0], errors
 
 
 def study_hog(seconds=6.0, clients=50):
@@ -130,21 +132,24 @@
         roster, config = Path(folder) / "roster.json5", Path(folder) / "root.json5"
         config.write_text(json.dumps({**demo.CONFIG, "roster": "roster.json5", "log": {"level": "error"},
                                       "memory": {"limit_bytes": 4 << 20}}))
-        processes = [subprocess.Popen([*words, "leaves", "--roster", str(roster), "--rows", "2000", "--work-ms", "0.5",
-                                       "--parent", str(os.getpid())])]
+        parts = [Path(folder) / f"leaf-{n}.json5" for n in range(demo.CELLS)]
+        processes = [subprocess.Popen([*words, "leaves", "--roster", str(part), "--rows", "2000", "--work-ms", "0.5",
+                                       "--parent", str(os.getpid()), "--only", str(n)]) for n, part in enumerate(parts)]
         try:
-            while not roster.exists():
+            while not all(part.exists() for part in parts):
                 time.sleep(0.1)
+            # Each process knows the address of its own leaf alone.
+            roster.write_text(json.dumps([json.loads(part.read_text())[n] for n, part in enumerate(parts)]))
             root = subprocess.Popen([*words, "serve", "--config", str(config)], stdout=subprocess.PIPE, text=True)
             processes.append(root)
             address = root.stdout.readline().split("postgresql://")[1].split()[0]
             print("phase | lookups | p50 ms | p99 ms | failed | hog's rows | root's resident MB")
             for n in range(4):
-                times, rows = trio.run(phase, address, seconds, clients, n % 2)
+                times, rows, errors = trio.run(phase, address, seconds, clients, n % 2)
                 with open(f"/proc/{root.pid}/status") as file:
                     peak = next(line for line in file if line.startswith("VmHWM")).split()[1]
                 print(f"{'hog' if n % 2 else 'calm':5} | {len(times):7} | {times[len(times) // 2]:6.1f} | "
-                      f"{times[int(len(times) * 0.99)]:6.1f} | {times.count(math.inf):6} | {rows:10} | {int(peak) >> 10}",
+                      f"{times[int(len(times) * 0.99)]:6.1f} | {errors or 0!s:6} | {rows:10} | {int(peak) >> 10}",
                       flush=True)
         finally:
             for process in processes:
