Three names that nothing reads go

Cause: the read-through found Membership.told_us, api.MODES and CatalogueNews.gossips written and never read. Measured: membership and catalogue tests pass (108).

--- a/mothnotch/badday/catalogue.py
+++ b/mothnotch/badday/catalogue.py
@@ -18,7 +18,6 @@
         self.agents = [ConsulAgent(self.catalogue, day.network, "127.0.0.1:0", f"agent-{n}", self.answers.append)
                        for n in range(script.agents)]
         self.how = {}                    # leaf -> the means by which it is marked as departing
-        self.gossips = True
 
     async def start(self, nursery):
         nursery.start_soon(self.catalogue.run)
--- a/mothnotch/consul/api.py
+++ b/mothnotch/consul/api.py
@@ -9,8 +9,6 @@
 
 from mothnotch.decisions.membership import Answer, Instance
 
-MODES = ("default", "stale", "consistent")
-
 
 class BadAnswer(ValueError):
     """An answer that cannot be used, with what is wrong."""
--- a/mothnotch/decisions/membership.py
+++ b/mothnotch/decisions/membership.py
@@ -156,7 +156,6 @@
         self.live = False                            # an agent's answer was taken since the start
         self.begun = False                           # from a list on disk
         self.blind_us = None                         # nobody has told anything since then
-        self.told_us = 0                             # when an answer was taken last
         self.departed = deque()                      # times at which leaves went, lately
         self.notes = []                              # (level, text, details) for the log; the caller empties it
 
@@ -261,7 +260,7 @@
                 # What was said at a later index than this answer's is not taken back by it.
                 if m.provisional <= answer.index:
                     m.provisional = 0
-        self.live, self.blind_us, self.told_us = True, None, now
+        self.live, self.blind_us = True, None
 
     def lacking(self, now, answer, missing, any_named, confirmed, lost):
         """What an answer does not name any more."""
