One way to feed groups and sorter; DISTINCT lets others run; states merge by one function

Cause: the read-through found the loop that feeds a table or sorter three times, the DISTINCT one without letting others run, and the function that merges states made anew for each row of a small answer. Change: gather.fed serves all three; the function is made once. No row and no order changes.

--- a/mothnotch/merge/groups.py
+++ b/mothnotch/merge/groups.py
@@ -75,9 +75,6 @@
         for _, key, states in self.merged([*(run.read() for run in self.runs), [held]]):
             yield key, states
 
-    def __len__(self):
-        return len(self.table) + sum(run.count for run in self.runs)
-
 
 def canonical(item):
     return item[0]
--- a/mothnotch/sql/gather.py
+++ b/mothnotch/sql/gather.py
@@ -22,12 +22,12 @@
     g = plan.gather
     skip, show = g.limits(parameters)
     if g.grouped:
-        groups = {}
+        groups, merge_states = {}, add_states(g)
         for part in parts:
             for key, states in partial_groups(g, part):
                 found = groups.setdefault(key, states)
                 if found is not states:
-                    add_states(g)(found, states)
+                    merge_states(found, states)
         rows = list(over_groups(g, groups.items(), parameters))
         if g.distinct:
             seen = {}
@@ -88,39 +88,35 @@
         return
     if g.grouped:
         groups = Groups(room, add_states(g), lambda key: canon(key).encode())
-        for part in parts:
-            for n, (key, states) in enumerate(partial_groups(g, part)):
-                groups.put(key, states)
-                if n % BLOCK_ITEMS == 0:
-                    yield []
+        yield from fed(groups.put, (pair for part in parts for pair in partial_groups(g, part)))
         rows = over_groups(g, groups, parameters)
-        if g.distinct:
-            rows = unique(room, ((tuple(row[:g.width]), row) for row in rows))
+        keyed = ((tuple(row[:g.width]), row) for row in rows)
     else:
-        rows = unique(room, ((decoded_key(row, g.oids), row) for part in parts for row in part))
+        keyed = ((decoded_key(row, g.oids), row) for part in parts for row in part)
+    if g.distinct:
+        found = Groups(room, lambda state, other: None, lambda key: canon(key).encode())     # the first of equal rows
+        yield from fed(found.put, keyed)
+        rows = (row for _, row in found)
     if not g.keys:
         yield from blocks(rows)
         return
     sorter = Sorter(room, sort_key(g.keys, g.grouped))
-    for n, row in enumerate(rows):
-        sorter.add(row)
+    yield from fed(sorter.add, ((row,) for row in rows))
+    yield from sorter.blocks()
+
+
+def fed(put, items):
+    """Puts each item in, with an empty block now and then, so that others run meanwhile."""
+    for n, item in enumerate(items):
+        put(*item)
         if n % BLOCK_ITEMS == 0:
             yield []
-    yield from sorter.blocks()
 
 
 def part_blocks(part):
     return part.blocks() if hasattr(part, "blocks") else blocks(part)
 
 
-def unique(room, pairs):
-    """One row of each set with equal keys."""
-    found = Groups(room, lambda state, other: None, lambda key: canon(key).encode())
-    for key, row in pairs:
-        found.put(key, row)
-    return (row for _, row in found)
-
-
 def decoded_key(row, oids):
     return tuple(None if v is None else t.from_text(oid, v) for v, oid in zip(row, oids, strict=True))
 
