Agents are made in one place, with their headers

Cause: watch, registration and members each put the same headers together. Change: Agent.of; a request with a body names its type itself, as the registration did. Measured: the watch's and the client's tests pass.

--- a/mothnotch/consul/agent.py
+++ b/mothnotch/consul/agent.py
@@ -23,6 +23,14 @@
         self.headers = [("Host", address if not address.startswith("unix:") else "localhost"), *headers]
         self.stream = self.http = None
 
+    @classmethod
+    def of(cls, conf, address, network, who):
+        """One of the agents that a ConsulConfig names; `who` asks, as its log will show."""
+        headers = [("User-Agent", who), ("Accept", "application/json")]
+        if conf.token:
+            headers.append(("X-Consul-Token", conf.token))
+        return cls(network, address, headers, conf.answer_limit)
+
     def close(self):
         if self.stream is not None:
             shut(self.stream)
@@ -55,7 +63,9 @@
 
     async def exchange(self, method, target, body):
         http = self.http
-        headers = [*self.headers, ("Content-Length", str(len(body)))] if body or method != "GET" else self.headers
+        headers = self.headers
+        if method != "GET":
+            headers = [*headers, ("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         data = http.send(h11.Request(method=method, target=target, headers=headers))
         if body:
             data += http.send(h11.Data(data=body))
--- a/mothnotch/consul/look.py
+++ b/mothnotch/consul/look.py
@@ -12,8 +12,7 @@
 
 async def one(conf, settings, network, address):
     """Lines about one agent."""
-    headers = [("Accept", "application/json")] + ([("X-Consul-Token", conf.token)] if conf.token else [])
-    agent = Agent(network, address, headers, conf.answer_limit)
+    agent = Agent.of(conf, address, network, "mothnotch-members")
     scope = {"dc": conf.datacenter, "ns": conf.namespace, "partition": conf.partition}
 
     async def get(path, **parameters):
--- a/mothnotch/consul/register.py
+++ b/mothnotch/consul/register.py
@@ -17,10 +17,7 @@
 
     def __init__(self, conf, me, name, network, log, random, where):
         self.conf, self.name, self.log, self.where = conf, name, log, where
-        headers = [("User-Agent", f"mothnotch/{me}"), ("Content-Type", "application/json")]
-        if conf.token:
-            headers.append(("X-Consul-Token", conf.token))
-        self.agents = [Agent(network, a, headers) for a in conf.agents]
+        self.agents = [Agent.of(conf, address, network, f"mothnotch/{me}") for address in conf.agents]
         self.plan = Registration(len(conf.agents), me, conf.register.ttl_s, random)
 
     async def run(self):
--- a/mothnotch/consul/watch.py
+++ b/mothnotch/consul/watch.py
@@ -39,10 +39,7 @@
         self.counts = {"answers": 0, "failures": 0, "rounds": 0, "news": 0, "bytes": 0}
 
     def agent(self, n):
-        headers = [("User-Agent", f"mothnotch/{self.me}"), ("Accept", "application/json")]
-        if self.conf.token:
-            headers.append(("X-Consul-Token", self.conf.token))
-        return Agent(self.network, self.conf.agents[n], headers, self.conf.answer_limit)
+        return Agent.of(self.conf, self.conf.agents[n], self.network, f"mothnotch/{self.me}")
 
     def target(self, index, wait_s, mode):
         c = self.conf
