--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -40,6 +40,8 @@
         config = load(path)
     except ConfigError as error:
         failed(error.errors)
+    if config.consul is not None:
+        return config
     try:
         load_roster(Path(config.roster).read_text(encoding="utf-8"), config.cells, config.roster)
     except OSError as error:
--- a/mothnotch/config.py
+++ b/mothnotch/config.py
@@ -10,6 +10,7 @@
 
 from mothnotch import net
 from mothnotch.decisions import interface as i
+from mothnotch.decisions import membership
 from mothnotch.decisions.roster import Leaf, checked
 from mothnotch.leaves.pool import PoolSettings
 from mothnotch.sql.schema import TYPE_NAMES, Schema, Table
@@ -114,6 +115,58 @@
     message_limit: int = 16 << 20
 
 
+class DrainConfig(Strict):
+    """What marks a leaf as draining: any of these tags, any of these meta pairs, weight 0, maintenance."""
+    tags: list[str] = msgspec.field(default_factory=lambda: ["draining"])
+    meta: dict[str, str] = msgspec.field(default_factory=lambda: {"state": "draining"})
+    weight: bool = True
+    maintenance: bool = True
+
+
+class RegisterConfig(Strict):
+    """The root's own entry in the catalogue."""
+    service: str = "mothnotch"
+    ttl_s: float = 15.0
+    meta: dict[str, str] = {}
+
+
+class ConsulConfig(Strict):
+    """The roster comes from Consul: the instances of `service`, whose meta names cell, zone and start."""
+    agents: list[str]
+    service: str
+    follow: int = 2                    # agents watched at once
+    mode: Literal["default", "stale", "consistent"] = "stale"
+    wait_s: float = 10.0
+    token: str | None = None
+    datacenter: str | None = None
+    namespace: str | None = None
+    partition: str | None = None
+    filter: str | None = None
+    cell: str = "cell"
+    zone: str = "zone"
+    started: str = "started"
+    drain: DrainConfig = DrainConfig()
+    health: bool = True
+    critical_most: float = 0.5
+    shrink: float = 0.3
+    hold_s: float = 1800.0
+    gone_s: float = 10.0
+    skew_s: float = 2.0
+    first_s: float = 5.0
+    answer_limit: int = 8 << 20
+    held: str | None = None            # file of the last list
+    held_most_s: float = 7 * 86400.0
+    register: RegisterConfig | None = None
+
+    def membership(self, cells, reach):
+        """The Settings of the membership decisions."""
+        d = self.drain
+        return membership.Settings(
+            cells, reach, frozenset(d.tags), tuple(d.meta.items()), d.weight, d.maintenance, self.health,
+            self.critical_most, self.shrink, int(self.hold_s * 1e6), int(self.gone_s * 1e6), self.skew_s,
+            cell_key=self.cell, zone_key=self.zone, started_key=self.started)
+
+
 class LogConfig(Strict):
     format: Literal["console", "json"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -121,12 +174,13 @@
 
 class Config(Strict):
     listen: list[str]
-    roster: str
     tables: dict[str, TableConfig]
     ranges: Ranges
     cells: int
     reach: int
     classes: dict[str, ClassConfig]
+    roster: str | None = None
+    consul: ConsulConfig | None = None
     seed: int = 1
     tenants: dict[str, float] = {}
     over_share_worth: float = 1.0
@@ -214,6 +268,10 @@
             wrong(f"listen[{n}]", str(error))
     if not config.listen:
         wrong("listen", "names no address")
+    if (config.roster is None) == (config.consul is None):
+        wrong("roster", "state either roster, a file, or consul")
+    if config.consul is not None:
+        check_consul(config.consul, wrong)
     if config.auth.method != "trust" and not config.auth.users:
         wrong("auth.users", "names nobody; give each user's password")
     for name, table in config.tables.items():
@@ -262,6 +320,37 @@
     return errors
 
 
+def check_consul(c, wrong):
+    """Errors of the consul section."""
+    if not c.agents:
+        wrong("consul.agents", "names no agent")
+    for n, address in enumerate(c.agents):
+        try:
+            if "://" in address:
+                raise net.AddressError(f"address {address!r}: expected HOST:PORT without a scheme; TLS is not spoken yet")
+            net.parse_address(address)
+        except net.AddressError as error:
+            wrong(f"consul.agents[{n}]", str(error))
+    if not c.service:
+        wrong("consul.service", "must name the service that the leaves are registered as")
+    if c.follow < 1:
+        wrong("consul.follow", "must be 1 at least")
+    if not 0.1 <= c.wait_s <= 600:
+        wrong("consul.wait_s", "must lie between 0.1 and 600: Consul holds a query no longer")
+    for name in ("critical_most", "shrink"):
+        if not 0 <= getattr(c, name) <= 1:
+            wrong(f"consul.{name}", "must lie between 0 and 1")
+    for name in ("hold_s", "gone_s", "skew_s", "first_s", "held_most_s"):
+        if not 0 <= getattr(c, name) < float("inf"):
+            wrong(f"consul.{name}", "must be a number, 0 at least")
+    if c.answer_limit < 1 << 16:
+        wrong("consul.answer_limit", "must be 65536 bytes at least")
+    if c.register is not None and not 1 <= c.register.ttl_s <= 3600:
+        wrong("consul.register.ttl_s", "must lie between 1 and 3600")
+    if c.register is not None and c.register.service == c.service:
+        wrong("consul.register.service", "is the leaves' own service: the root would be taken for a leaf")
+
+
 def load(path):
     """The checked configuration of a file; the roster's path is taken from the file's folder."""
     path = Path(path)
@@ -273,7 +362,12 @@
     errors = check(config, path)
     if errors:
         raise ConfigError(errors)
-    return msgspec.structs.replace(config, roster=str(path.parent / config.roster))
+    if config.consul is None:
+        return msgspec.structs.replace(config, roster=str(path.parent / config.roster))
+    if config.consul.held is not None:
+        consul = msgspec.structs.replace(config.consul, held=str(path.parent / config.consul.held))
+        return msgspec.structs.replace(config, consul=consul)
+    return config
 
 
 class RosterEntry(Strict):
--- /dev/null
+++ b/mothnotch/consul/register.py
@@ -0,0 +1,70 @@
+"""The root's own entry in the catalogue: registered, kept by a beat, taken out on a clean stop.
+
+What is done when is decided by decisions/polling.Registration; here it is done.
+"""
+import trio
+
+from mothnotch.consul import api
+from mothnotch.consul.agent import Agent, AgentError
+from mothnotch.decisions.polling import Registration
+
+STEP_S = 2.0                     # one step's time
+LAST_S = 1.0                     # of a clean stop
+
+
+class Registrar:
+    """`conf`: ConsulConfig with `register`; `where()` gives (host, port) that the root serves at."""
+
+    def __init__(self, conf, me, name, network, log, random, where):
+        self.conf, self.name, self.log, self.where = conf, name, log, where
+        headers = [("User-Agent", f"mothnotch/{me}"), ("Content-Type", "application/json")]
+        if conf.token:
+            headers.append(("X-Consul-Token", conf.token))
+        self.agents = [Agent(network, a, headers) for a in conf.agents]
+        self.plan = Registration(len(conf.agents), me, conf.register.ttl_s, random)
+
+    async def run(self):
+        try:
+            while True:
+                step = self.plan.step()
+                await trio.sleep(step.delay_s)
+                await self.take(step)
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(LAST_S):
+                async with trio.open_nursery() as nursery:
+                    for step in self.plan.last_steps():
+                        nursery.start_soon(self.take, step)
+            for agent in self.agents:
+                agent.close()
+
+    def request(self, step):
+        """(path, body) of a step."""
+        if step.what == "register":
+            host, port = self.where()
+            return "/v1/agent/service/register", api.registration(
+                self.conf.register.service, self.name, host, port, self.conf.register.meta, self.conf.register.ttl_s)
+        if step.what == "beat":
+            return f"/v1/agent/check/update/service:{self.name}", b'{"Status": "passing", "Output": "serving"}'
+        return f"/v1/agent/service/deregister/{self.name}", b""
+
+    async def take(self, step):
+        path, body = self.request(step)
+        try:
+            with trio.move_on_after(STEP_S) as scope:
+                status, headers, said = await self.agents[step.agent].request(
+                    "PUT", api.target(path, dc=None, ns=self.conf.namespace, partition=self.conf.partition), body)
+                if step.what == "beat" and api.forgotten(status, said):
+                    self.plan.failed(trio.current_time(), step, forgotten=True)
+                    self.log.warning("the agent forgot this root; it registers again", agent=self.conf.agents[step.agent])
+                    return
+                api.sound(status, headers, said)
+            if scope.cancelled_caught:
+                raise AgentError(f"{self.conf.agents[step.agent]}: no answer in {STEP_S:g} s")
+        except (AgentError, api.BadAnswer) as error:
+            if not self.plan.failures:
+                self.log.warning("own registration", step=step.what, error=str(error))
+            self.plan.failed(trio.current_time(), step)
+            return
+        self.plan.done(step)
+        if step.what == "register":
+            self.log.info("registered", name=self.name, agent=self.conf.agents[step.agent])
--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -4,19 +4,25 @@
 """
 import os
 import time
+from random import Random
 
 import trio
 
+from mothnotch.consul.register import Registrar
+from mothnotch.consul.watch import ConsulWatch
 from mothnotch.fronts.pg import PgFront
 from mothnotch.fronts.session import Service
 from mothnotch.leaves.pool import Leaves
+from mothnotch.net import parse_address
 from mothnotch.root.core import Core
 from mothnotch.root.roster import FileRoster, Watch
 from mothnotch.sql.plan import Planner
+from mothnotch.store.lastlist import LastList
 
 
 class Root:
-    """One root. `random(n)` gives bytes for secrets and for the name of this run; `source` is its roster."""
+    """One root. `random(n)` gives bytes for secrets and for the name of this run; `source` is its roster, in place
+    of the file or the catalogue that the configuration names."""
 
     def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None):
         self.config, self.network, self.log = config, network, log
@@ -28,8 +34,24 @@
         name = f"{config.root.me}-{random(6).hex()}"
         self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
         self.front = PgFront(self.service, config, network, log, random)
-        self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
-        self.addresses = []
+        self.addresses, self.registrar = [], None
+        if config.consul is None or source is not None:
+            self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
+            return
+        c, chance = config.consul, Random(random(8)).random
+        store = LastList(c.held, f"{c.datacenter} {c.namespace} {c.service} {config.cells}") if c.held else None
+        self.watch = ConsulWatch(c, c.membership(config.cells, config.reach), config.root.me, self.core, self.leaves,
+                                 network, log, store, chance)
+        if c.register is not None:
+            self.registrar = Registrar(c, config.root.me, name, network, log, chance, self.where)
+
+    def where(self):
+        """(host, port) of the first TCP address served; port 0 if there is none."""
+        for address in self.addresses:
+            kind, *rest = parse_address(address)
+            if kind == "tcp":
+                return tuple(rest)
+        return "", 0
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled; started once every address listens and the roster was read."""
@@ -37,13 +59,14 @@
             async with trio.open_nursery() as nursery:
                 await nursery.start(self.leaves.run)
                 await nursery.start(self.core.run)
-                self.watch.look()
-                nursery.start_soon(self.watch.run)
+                await nursery.start(self.watch.run)
                 listeners = []
                 for address in self.config.listen:
                     listeners += await self.network.listen(address)
                 self.addresses = [self.network.name(listener) for listener in listeners]
                 nursery.start_soon(self.front.run, listeners, nursery)
+                if self.registrar is not None:
+                    nursery.start_soon(self.registrar.run)
                 self.log.info("serving", addresses=self.addresses)
                 task_status.started(self)
                 await trio.sleep_forever()
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -16,6 +16,7 @@
 
 from mothnotch.decisions import interface as i
 from mothnotch.decisions import outcomes
+from mothnotch.decisions.membership import Own
 from mothnotch.leaves.connection import Connection, ReadExchange, Unanswered, WriteExchange
 from mothnotch.leaves.payload import Write
 from mothnotch.net import shut
@@ -45,6 +46,7 @@
     def __init__(self, name, address):
         self.name, self.address, self.takes_new = name, address, True
         self.idle, self.open, self.cancels = [], 0, 0
+        self.own = Own()                   # what these connections met: evidence for the membership
 
 
 class Call:
@@ -105,6 +107,10 @@
             leaf.takes_new = False
             self.close_idle(leaf)
 
+    def own(self):
+        """What the root's own connections met last, by name."""
+        return {name: leaf.own for name, leaf in self.leaves.items()}
+
     def disconnect(self, name):
         if name in self.leaves:
             self.close_idle(self.leaves[name])
@@ -165,10 +171,11 @@
         went = int(trio.current_time() * 1e6)
         for attempt in call.exchange.attempts:
             attempt.went_us = went
-        self.push(connection, call.exchange.begin())
+        self.push(connection, call.exchange.begin(), first=True)
 
-    def push(self, connection, data):
-        """Sends what the socket takes at once; a task of its own sends the rest, if any."""
+    def push(self, connection, data, first=False):
+        """Sends what the socket takes at once; a task of its own sends the rest, if any. `first`: nothing of the
+        call has gone out before."""
         if connection.rest:
             connection.rest += data
             return
@@ -179,14 +186,24 @@
             return
         if n < len(data):
             connection.rest += data[n:]
-            self.nursery.start_soon(self.send_rest, connection)
+            self.nursery.start_soon(self.send_rest, connection, first and not n)
 
-    async def send_rest(self, connection):
+    async def send_rest(self, connection, unsent):
         try:
             while connection.rest and not connection.dead:
-                chunk = bytes(connection.rest)
-                await connection.stream.send_all(chunk)
-                del connection.rest[:len(chunk)]
+                await connection.stream.wait_send_all_might_not_block()
+                if connection.dead:
+                    return
+                if unsent and not connection.leaf.takes_new and connection.call is not None:
+                    # Told while no byte had left: what was decided before the news is withdrawn.
+                    call, connection.call = connection.call, None
+                    connection.rest.clear()
+                    call.exchange.lost(i.Result.UNSENT)
+                    self.release(connection)
+                    return
+                n = self.network.send_now(connection.stream, bytes(connection.rest))
+                del connection.rest[:n]
+                unsent = unsent and not n
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             self.lost(connection)
 
@@ -208,6 +225,7 @@
                     return
                 if not data:
                     break
+                connection.leaf.own.answered_us = int(trio.current_time() * 1e6)
                 connection.wire.receive(data)
                 self.take(connection)
                 if connection.dead:
@@ -280,6 +298,7 @@
                 if attempt.ended:
                     continue
                 call = attempt.call
+                call.leaf.own.failed_us = int(now * 1e6)
                 if call.connection is None:
                     attempt.end(i.Result.UNREACHABLE)       # nothing has gone out
                 elif call.exchange.alone(attempt):
@@ -313,6 +332,7 @@
             if not ready:
                 leaf.open -= 1
                 self.counts["connects_failed"] += 1
+                leaf.own.failed_us = int(trio.current_time() * 1e6)
                 if connection is not None:
                     shut(connection.stream)
         if not ready:
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -140,6 +140,8 @@
 
     async def wait_send_all_might_not_block(self):
         await trio.lowlevel.checkpoint()
+        while not self.closed and not self.peer.closed and len(self.peer.buffer) >= self.limit:
+            await self.peer.changed.wait()
 
     async def receive_some(self, max_bytes=None):
         await trio.lowlevel.checkpoint()
--- a/mothnotch/root/roster.py
+++ b/mothnotch/root/roster.py
@@ -78,7 +78,10 @@
         self.log.info("roster", version=self.version, up=sum(x.state == "up" for x in found), leaves=len(found))
         return True
 
-    async def run(self):
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Runs until cancelled; started once the roster was looked at."""
+        self.look()
+        task_status.started()
         while True:
             await trio.sleep(WATCH_S)
             self.look()
--- /dev/null
+++ b/mothnotch/standins/consul.py
@@ -0,0 +1,554 @@
+"""A stand-in for Consul: agents in front of one catalogue, with blocking queries, maintenance, TTL checks and faults.
+
+Written from the public HTTP API pages; what it does not know answers 404 or 400. It records every answer about a
+service: whom it told what and when, so that an auditor can judge a root from the catalogue's side.
+"""
+import copy
+import json
+import re
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import trio
+
+from mothnotch.net import serve, shut
+
+WAIT_S, WAIT_MOST_S = 300.0, 600.0
+UNITS = {"ns": 1e-9, "us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0}
+CLAUSE = re.compile(r'\s*(?:"(?P<word>[^"]*)"\s+(?P<op>in|not in)\s+(?P<list>[\w.]+)'
+                    r'|(?P<field>[\w.-]+)\s*(?P<cmp>==|!=)\s*"?(?P<value>[^"]*?)"?)\s*')
+
+
+class Bad(Exception):
+    """A request that is answered with an error."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+def duration(text):
+    """Seconds of a Go duration; a bare number counts as seconds."""
+    found = re.fullmatch(r"((?:[\d.]+(?:ns|us|ms|s|m|h))+)|([\d.]+)", text)
+    if not found:
+        raise Bad(400, f"Invalid wait time: {text}")
+    if found[2]:
+        return float(found[2])
+    return sum(float(n) * UNITS[unit] for n, unit in re.findall(r"([\d.]+)(ns|us|ms|s|m|h)", text))
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with an agent at present."""
+    delay_s: float = 0.0             # before every answer
+    silent: bool = False             # reads, and says nothing
+    status: int = 0                  # answers with this instead
+    garbage: str = ""                # "json": half of a body; "huge": without end; "cut": closes midway; "deep"; "headers"
+    lag: bool = False                # knows nothing newer than when this began
+    no_leader: bool = False          # stale answers only
+    filtered: bool = False           # its access list shows nothing
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """One answer about a service. `states`: node/id -> "up" or "draining" as marked; critical checks do not count."""
+    at: float
+    agent: str
+    who: str
+    life: int
+    index: int
+    consistent: bool
+    filtered: bool
+    states: dict
+
+
+@dataclass(slots=True)
+class Catalogue:
+    """What the servers of the stand-in agree on."""
+    index: int = 10
+    life: int = 0
+    nodes: dict = field(default_factory=dict)        # node -> {"Address", "Meta"}
+    services: dict = field(default_factory=dict)     # (node, id) -> the service's fields
+    checks: dict = field(default_factory=dict)       # (node, check id) -> the check's fields
+    of_service: dict = field(default_factory=dict)   # service name -> index of its last change
+    changed: object = field(default_factory=trio.Event)
+    ttl: dict = field(default_factory=dict)          # (node, check id) -> [ttl, expires, reaped after, critical since]
+
+    # ---- changes ----
+
+    def bump(self, *names):
+        self.index += 1
+        for name in names:
+            self.of_service[name] = self.index
+        self.changed.set()
+        self.changed = trio.Event()
+        return self.index
+
+    def on_node(self, node):
+        return [s["Service"] for (n, _), s in self.services.items() if n == node]
+
+    def register_node(self, node, address, meta=None):
+        before = self.nodes.get(node)
+        if before is None or before["Address"] != address:
+            index = self.bump(*self.on_node(node))
+            self.nodes[node] = {"Node": node, "Address": address, "Datacenter": "dc1", "Meta": meta or {},
+                                "CreateIndex": before["CreateIndex"] if before else index, "ModifyIndex": index}
+
+    def register(self, node, name, id=None, address="", port=0, tags=(), meta=None, weights=None):
+        """Registers a service; the same again changes nothing."""
+        if node not in self.nodes:
+            self.register_node(node, address or "127.0.0.1")
+        id = id or name
+        new = {"ID": id, "Service": name, "Tags": list(tags), "Address": address, "Port": port, "Meta": dict(meta or {}),
+               "Weights": dict(weights or {"Passing": 1, "Warning": 1}), "Namespace": "default"}
+        before = self.services.get((node, id))
+        if before is not None and all(before[k] == v for k, v in new.items()):
+            return
+        index = self.bump(*{name, *([before["Service"]] if before else ())})
+        self.services[node, id] = {**new, "CreateIndex": before["CreateIndex"] if before else index, "ModifyIndex": index}
+
+    def deregister(self, node, id):
+        found = self.services.pop((node, id), None)
+        if found is None:
+            return False
+        for key in [k for k, c in self.checks.items() if k[0] == node and c["ServiceID"] == id]:
+            del self.checks[key]
+            self.ttl.pop(key, None)
+        self.bump(found["Service"])
+        return True
+
+    def deregister_node(self, node):
+        names = self.on_node(node)
+        for key in [k for k in self.services if k[0] == node]:
+            del self.services[key]
+        for key in [k for k in self.checks if k[0] == node]:
+            del self.checks[key]
+            self.ttl.pop(key, None)
+        if self.nodes.pop(node, None) is not None:
+            self.bump(*names)
+
+    def check(self, node, check, status, name="", service_id="", output=""):
+        """Sets a check."""
+        before = self.checks.get((node, check))
+        service = self.services.get((node, service_id), {}).get("Service", "") if service_id else ""
+        if before is not None and (before["Status"], before["ServiceID"]) == (status, service_id):
+            return
+        index = self.bump(*([service] if service_id else self.on_node(node)))
+        self.checks[node, check] = {"Node": node, "CheckID": check, "Name": name or check, "Status": status, "Notes": "",
+                                    "Output": output, "ServiceID": service_id, "ServiceName": service,
+                                    "CreateIndex": before["CreateIndex"] if before else index, "ModifyIndex": index}
+
+    def uncheck(self, node, check):
+        found = self.checks.pop((node, check), None)
+        self.ttl.pop((node, check), None)
+        if found:
+            self.bump(*([found["ServiceName"]] if found["ServiceID"] else self.on_node(node)))
+
+    def maintenance(self, node, on, id="", reason=""):
+        check = f"_service_maintenance:{id}" if id else "_node_maintenance"
+        if on:
+            self.check(node, check, "critical", "Maintenance Mode", id, reason)
+        else:
+            self.uncheck(node, check)
+
+    def wipe(self):
+        """The servers lost their state: another life, whose index begins low."""
+        self.life, self.index = self.life + 1, 3
+        for table in (self.nodes, self.services, self.checks, self.of_service, self.ttl):
+            table.clear()
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def run(self):
+        """Lets TTL checks run out."""
+        while True:
+            await trio.sleep(0.25)
+            now = trio.current_time()
+            for (node, check), timer in list(self.ttl.items()):
+                ttl, expires, reaped, since = timer
+                if since is None and now > expires:
+                    timer[3] = now
+                    found = self.checks[node, check]
+                    self.check(node, check, "critical", found["Name"], found["ServiceID"], "TTL expired")
+                elif since is not None and reaped and now > since + reaped:
+                    self.deregister(node, self.checks[node, check]["ServiceID"])
+
+    # ---- answers ----
+
+    def service_index(self, name):
+        return self.of_service.get(name, self.index if not name else max(1, min(self.index, 1 + self.life)))
+
+    def entries(self, name):
+        out = []
+        for (node, id), s in sorted(self.services.items()):
+            if s["Service"] == name:
+                checks = [c for (n, _), c in sorted(self.checks.items()) if n == node and c["ServiceID"] in ("", id)]
+                out.append({"Node": self.nodes[node], "Service": s, "Checks": checks})
+        return out
+
+
+def marked(entry):
+    """Whether an entry of a health answer is marked as departing, by any of the ways the demo's settings name."""
+    s = entry["Service"]
+    worst = any(c["Status"] == "warning" for c in entry["Checks"])
+    return (any("_maintenance" in c["CheckID"] for c in entry["Checks"]) or "draining" in s["Tags"]
+            or s["Meta"].get("state") == "draining" or s["Weights"]["Warning" if worst else "Passing"] <= 0)
+
+
+class ConsulAgent:
+    """One agent. `record(told)` hears every answer about a service; `token`: what reads must carry, if anything."""
+
+    def __init__(self, catalogue, network, address, node, record=lambda told: None, token="", resync_s=None):
+        self.catalogue, self.network, self.address, self.node = catalogue, network, address, node
+        self.record, self.token, self.resync_s = record, token, resync_s
+        self.faults, self.frozen, self.up, self.scope = Faults(), None, False, None
+        self.local = {}                  # service id -> registration of this agent's own, for anti-entropy
+        self.counts = {"requests": 0, "answers": 0, "bytes": 0}
+        self.requests_by = {}            # who -> requests
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """One life of the agent's process, until `stop`."""
+        with trio.CancelScope() as self.scope:
+            listeners = await self.network.listen(self.address)
+            self.address, self.up = self.network.name(listeners[0]), True
+            self.catalogue.register_node(self.node, "127.0.0.1")
+            task_status.started(self)
+            try:
+                async with trio.open_nursery() as nursery:
+                    if self.resync_s:
+                        nursery.start_soon(self.resync)
+                    nursery.start_soon(serve, listeners, self.client, nursery)
+            finally:
+                self.up = False
+                with trio.CancelScope(shield=True):
+                    for listener in listeners:
+                        await listener.aclose()
+
+    def stop(self):
+        self.scope.cancel()
+
+    def lag(self, on):
+        """Whether it is cut off from its servers: it then knows nothing newer than now."""
+        self.frozen = copy.deepcopy({k: v for k, v in ((f, getattr(self.catalogue, f)) for f in (
+            "index", "life", "nodes", "services", "checks", "of_service"))}) if on else None
+        self.faults.lag = on
+
+    @property
+    def known(self):
+        return Catalogue(**self.frozen) if self.frozen else self.catalogue
+
+    async def resync(self):
+        """Anti-entropy: what this agent was told itself comes back into a catalogue that lost it."""
+        while True:
+            await trio.sleep(self.resync_s)
+            if not self.frozen and not self.faults.silent:
+                for id, args in list(self.local.items()):
+                    self.catalogue.register(self.node, **args)
+                    self.catalogue.check(self.node, f"service:{id}", "passing", service_id=id)
+
+    # ---- HTTP ----
+
+    async def client(self, stream):
+        http = h11.Connection(h11.SERVER)
+        try:
+            while True:
+                request, body = None, bytearray()
+                while True:
+                    event = http.next_event()
+                    if event is h11.NEED_DATA:
+                        http.receive_data(await stream.receive_some(1 << 16))
+                    elif isinstance(event, h11.Request):
+                        request = event
+                    elif isinstance(event, h11.Data) and len(body) < 1 << 20:
+                        body += event.data
+                    elif isinstance(event, h11.EndOfMessage):
+                        break
+                    elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+                        return
+                if not await self.respond(stream, http, request, bytes(body)) or http.our_state is h11.MUST_CLOSE:
+                    return
+                http.start_next_cycle()
+        except (OSError, h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            shut(stream)
+
+    async def respond(self, stream, http, request, body):
+        """Answers one request; false if the connection is to be closed."""
+        headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
+        parts = urlsplit(request.target.decode())
+        query, told, extra = dict(parse_qsl(parts.query, keep_blank_values=True)), None, {}
+        self.counts["requests"] += 1
+        who = headers.get("user-agent", "")
+        self.requests_by[who] = self.requests_by.get(who, 0) + 1
+        if self.faults.silent:
+            await trio.sleep_forever()
+        try:
+            if self.faults.status:
+                raise Bad(self.faults.status, "the stand-in was told to fail")
+            if self.token and headers.get("x-consul-token", query.get("token")) != self.token:
+                raise Bad(403, "Permission denied: token with AccessorID '00000000' lacks permission")
+            value, extra, told = await self.route(request.method.decode(), unquote(parts.path), query, body, who)
+            status = 200
+            out = json.dumps(value).encode() if value is not None else b""
+        except Bad as error:
+            status, out = error.status, error.text.encode()
+            if status == 429:
+                extra = {"Retry-After": "1"}
+        if self.faults.delay_s:
+            await trio.sleep(self.faults.delay_s)
+        return await self.send(stream, http, status, out, extra, told)
+
+    async def send(self, stream, http, status, out, extra, told):
+        garbage = self.faults.garbage if status == 200 else ""
+        if garbage == "json":
+            out = out[:len(out) // 2]
+        elif garbage == "deep":
+            out = b"[" * 100_000
+        elif garbage == "headers":
+            extra = {**extra, "X-Consul-Index": "many"}
+        length = 1 << 40 if garbage == "huge" else len(out) + (10 if garbage == "cut" else 0)
+        head = http.send(h11.Response(status_code=status, headers=[
+            ("Content-Type", "application/json"), ("Content-Length", str(length)), *extra.items()]))
+        if garbage == "huge":
+            await stream.send_all(head)
+            while True:
+                await stream.send_all(b" " * (1 << 16))
+        data = head + (http.send(h11.Data(data=out)) if out else b"")
+        if garbage == "cut":
+            await stream.send_all(data)
+            return False
+        await stream.send_all(data + http.send(h11.EndOfMessage()))
+        self.counts["answers"] += 1
+        self.counts["bytes"] += len(out)
+        if told is not None and not garbage:
+            self.record(Told(trio.current_time(), self.node, *told))
+        return True
+
+    # ---- routes ----
+
+    async def route(self, method, path, query, body, who):
+        """(value, headers, told) of a request; Bad for an error."""
+        words = path.strip("/").split("/")
+        if words[0] != "v1" or len(words) < 3:
+            raise Bad(404, "Invalid URL path")
+        handler = getattr(self, f"{method.lower()}_{words[1]}_{words[2].replace('-', '_')}", None)
+        if handler is None:
+            raise Bad(405 if method not in ("GET", "PUT") else 404, f"Invalid URL path: {method} {path}")
+        return await handler(words[3:], query, body, who)
+
+    async def blocked(self, name, query):
+        """Waits as a blocking query does; the headers of its answer."""
+        if "consistent" in query and (self.frozen or self.faults.no_leader):
+            raise Bad(500, "No cluster leader")
+        if "stale" not in query and (self.frozen or self.faults.no_leader):
+            raise Bad(500, "No cluster leader")
+        try:
+            index = int(query.get("index", "0"))
+        except ValueError:
+            raise Bad(400, f"Invalid index: {query['index']}") from None
+        if index > 0:
+            wait = min(WAIT_MOST_S, duration(query["wait"]) if query.get("wait") else WAIT_S)
+            life = self.known.life               # a restored store abandons the queries that wait on the old one
+            with trio.move_on_after(wait * 17 / 16):
+                while self.known.service_index(name) <= index and self.known.life == life:
+                    if self.frozen:
+                        await trio.sleep(0.05)
+                    else:
+                        await self.catalogue.changed.wait()
+        lags = bool(self.frozen or self.faults.no_leader)
+        headers = {"X-Consul-Index": str(self.known.service_index(name)), "X-Consul-KnownLeader": str(not lags).lower(),
+                   "X-Consul-LastContact": "60000" if lags else "0"}
+        if self.faults.filtered:
+            headers["X-Consul-Results-Filtered-By-ACLs"] = "true"
+        return headers
+
+    async def get_health_service(self, words, query, body, who):
+        headers = await self.blocked(words[0], query)
+        known = self.known
+        entries = [] if self.faults.filtered else copy.deepcopy(known.entries(words[0]))
+        if "passing" in query:
+            entries = [e for e in entries if all(c["Status"] == "passing" for c in e["Checks"])]
+        if query.get("tag"):
+            entries = [e for e in entries if query["tag"] in e["Service"]["Tags"]]
+        entries = filtered(entries, query.get("filter", ""))
+        states = {f"{e['Node']['Node']}/{e['Service']['ID']}": "draining" if marked(e) else "up" for e in entries}
+        told = (who, known.life, int(headers["X-Consul-Index"]), "consistent" in query, self.faults.filtered, states)
+        return entries, headers, told
+
+    async def get_health_node(self, words, query, body, who):
+        headers = await self.blocked("", query)
+        return [c for (n, _), c in sorted(self.known.checks.items()) if n == words[0]], headers, None
+
+    async def get_health_checks(self, words, query, body, who):
+        headers = await self.blocked(words[0], query)
+        return [c for _, c in sorted(self.known.checks.items()) if c["ServiceName"] == words[0]], headers, None
+
+    async def get_health_state(self, words, query, body, who):
+        headers = await self.blocked("", query)
+        return [c for _, c in sorted(self.known.checks.items()) if words[0] in ("any", c["Status"])], headers, None
+
+    async def get_catalog_services(self, words, query, body, who):
+        headers = await self.blocked("", query)
+        out = {}
+        for s in self.known.services.values():
+            out[s["Service"]] = sorted({*out.get(s["Service"], ()), *s["Tags"]})
+        return {} if self.faults.filtered else out, headers, None
+
+    async def get_catalog_service(self, words, query, body, who):
+        headers = await self.blocked(words[0], query)
+        out = [{"Node": e["Node"]["Node"], "Address": e["Node"]["Address"], "Datacenter": "dc1",
+                **{f"Service{k}": e["Service"][k] for k in ("ID", "Tags", "Address", "Port", "Meta", "Weights")},
+                "ServiceName": words[0], "CreateIndex": e["Service"]["CreateIndex"], "ModifyIndex": e["Service"]["ModifyIndex"]}
+               for e in self.known.entries(words[0])]
+        return filtered([] if self.faults.filtered else out, query.get("filter", "")), headers, None
+
+    async def get_catalog_nodes(self, words, query, body, who):
+        headers = await self.blocked("", query)
+        return [n for _, n in sorted(self.known.nodes.items())], headers, None
+
+    async def get_catalog_node(self, words, query, body, who):
+        headers = await self.blocked("", query)
+        node = self.known.nodes.get(words[0])
+        services = {id: s for (n, id), s in self.known.services.items() if n == words[0]}
+        return node and {"Node": node, "Services": services}, headers, None
+
+    async def get_catalog_datacenters(self, words, query, body, who):
+        return ["dc1"], {}, None
+
+    async def put_catalog_register(self, words, query, body, who):
+        given = document(body)
+        if not given.get("Node") or not given.get("Address"):
+            raise Bad(400, "Must provide node and address")
+        self.catalogue.register_node(given["Node"], given["Address"], given.get("NodeMeta"))
+        s, checks = given.get("Service"), given.get("Checks") or ([given["Check"]] if given.get("Check") else [])
+        if s:
+            self.catalogue.register(given["Node"], s["Service"], s.get("ID"), s.get("Address") or "", s.get("Port") or 0,
+                                    s.get("Tags") or (), s.get("Meta"), s.get("Weights"))
+        for c in checks:
+            self.catalogue.check(given["Node"], c.get("CheckID") or c["Name"], c["Status"], c.get("Name", ""),
+                                 c.get("ServiceID", ""))
+        return True, {}, None
+
+    async def put_catalog_deregister(self, words, query, body, who):
+        given = document(body)
+        if given.get("ServiceID"):
+            self.catalogue.deregister(given["Node"], given["ServiceID"])
+        elif given.get("CheckID"):
+            self.catalogue.uncheck(given["Node"], given["CheckID"])
+        else:
+            self.catalogue.deregister_node(given["Node"])
+        return True, {}, None
+
+    async def get_status_leader(self, words, query, body, who):
+        return "" if self.faults.no_leader else "127.0.0.1:8300", {}, None
+
+    async def get_status_peers(self, words, query, body, who):
+        return ["127.0.0.1:8300"], {}, None
+
+    async def get_agent_self(self, words, query, body, who):
+        return {"Config": {"Datacenter": "dc1", "NodeName": self.node, "Server": True}, "Member": {"Name": self.node}}, {}, None
+
+    async def get_agent_services(self, words, query, body, who):
+        return {id: s for (n, id), s in self.catalogue.services.items() if n == self.node}, {}, None
+
+    async def get_agent_checks(self, words, query, body, who):
+        return {check: c for (n, check), c in self.catalogue.checks.items() if n == self.node}, {}, None
+
+    async def put_agent_service(self, words, query, body, who):
+        if words[0] == "register":
+            self.register(document(body))
+        elif words[0] == "deregister":
+            self.local.pop(words[1], None)
+            if not self.catalogue.deregister(self.node, words[1]):
+                raise Bad(404, f'Unknown service ID "{words[1]}"')
+        elif words[0] == "maintenance":
+            if (self.node, words[1]) not in self.catalogue.services:
+                raise Bad(404, f'Unknown service ID "{words[1]}"')
+            if query.get("enable") not in ("true", "false"):
+                raise Bad(400, "Missing value for enable")
+            self.catalogue.maintenance(self.node, query["enable"] == "true", words[1], query.get("reason", ""))
+        else:
+            raise Bad(404, "Invalid URL path")
+        return None, {}, None
+
+    def register(self, given):
+        if not given.get("Name"):
+            raise Bad(400, "Missing service name")
+        id = given.get("ID") or given["Name"]
+        args = {"name": given["Name"], "id": id, "address": given.get("Address") or "", "port": given.get("Port") or 0,
+                "tags": given.get("Tags") or (), "meta": given.get("Meta"), "weights": given.get("Weights")}
+        self.local[id] = args
+        self.catalogue.register(self.node, **args)
+        for n, check in enumerate(given.get("Checks") or ([given["Check"]] if given.get("Check") else [])):
+            check_id = check.get("CheckID") or (f"service:{id}" if n == 0 else f"service:{id}:{n + 1}")
+            self.catalogue.check(self.node, check_id, check.get("Status") or "critical", check.get("Name", ""), id)
+            if check.get("TTL"):
+                ttl, reaped = duration(check["TTL"]), duration(check.get("DeregisterCriticalServiceAfter") or "0")
+                self.catalogue.ttl[self.node, check_id] = [ttl, trio.current_time() + ttl, reaped, None]
+
+    async def put_agent_maintenance(self, words, query, body, who):
+        self.catalogue.maintenance(self.node, query.get("enable") == "true", reason=query.get("reason", ""))
+        return None, {}, None
+
+    async def put_agent_check(self, words, query, body, who):
+        what, check = words[0], words[1] if len(words) > 1 else ""
+        if what == "register":
+            given = document(body)
+            check = given.get("ID") or given.get("CheckID") or given["Name"]
+            self.catalogue.check(self.node, check, given.get("Status") or "critical", given["Name"],
+                                 given.get("ServiceID") or "")
+            if given.get("TTL"):
+                ttl = duration(given["TTL"])
+                self.catalogue.ttl[self.node, check] = [ttl, trio.current_time() + ttl, 0, None]
+            return None, {}, None
+        found = self.catalogue.checks.get((self.node, check))
+        if found is None:
+            raise Bad(404, f'Unknown check ID "{check}"')
+        if what == "deregister":
+            self.catalogue.uncheck(self.node, check)
+            return None, {}, None
+        status = {"pass": "passing", "warn": "warning", "fail": "critical"}.get(what) or document(body).get("Status")
+        if status not in ("passing", "warning", "critical"):
+            raise Bad(400, f"Invalid check status: {status!r}")
+        timer = self.catalogue.ttl.get((self.node, check))
+        if timer is None:
+            raise Bad(500, f'CheckID "{check}" does not have associated TTL')
+        timer[1], timer[3] = trio.current_time() + timer[0], None
+        self.catalogue.check(self.node, check, status, found["Name"], found["ServiceID"], query.get("note", ""))
+        return None, {}, None
+
+
+def document(body):
+    try:
+        found = json.loads(body or b"{}")
+    except (ValueError, RecursionError):
+        raise Bad(400, "Request decode failed: invalid JSON") from None
+    if not isinstance(found, dict):
+        raise Bad(400, "Request decode failed: expected an object")
+    return found
+
+
+def filtered(entries, expression):
+    """Entries that a filter lets through: comparisons joined by `and`, of the API's filter language."""
+    if not expression:
+        return entries
+    clauses = []
+    for text in expression.split(" and "):
+        found = CLAUSE.fullmatch(text)
+        if not found:
+            raise Bad(400, f"Failed to create boolean expression evaluator: {text!r}")
+        clauses.append(found)
+
+    def value(entry, path):
+        for word in path.split("."):
+            entry = entry.get(word) if isinstance(entry, dict) else None
+        return entry
+
+    def passes(entry, c):
+        if c["list"]:
+            return (c["word"] in (value(entry, c["list"]) or ())) == (c["op"] == "in")
+        return (str(value(entry, c["field"])) == c["value"]) == (c["cmp"] == "==")
+
+    return [e for e in entries if all(passes(e, c) for c in clauses)]
--- /dev/null
+++ b/mothnotch/store/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a root's process."""
