--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -33,8 +33,8 @@
                 def end(self, result, rows=None, report=None):
                     self.ended = True
 
-                def hold(self, size):
-                    return False
+                def keep(self, row, size):
+                    pass
 
             root.leaves.nursery.start_soon(later, root, server, Late(core, part, 99, server, 500_000))
 
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -246,15 +246,16 @@
 
 @app.command
 def study(name: str, *, days: int = 500, seed: int = 0, sockets: bool = False):
-    """Run a measurement that the docs give: departures, silence, flapping, watch-cpu, staleness, watchers.
+    """Run a measurement that the docs give: departures, silence, flapping, watch-cpu, staleness, watchers, merging, hog.
 
     For departures: so many --days from --seed on, in virtual time or over --sockets; status 1 if one broke a rule or
     saw a new part later than 250 ms after the root was told.
     """
-    from mothnotch.studies.catalogue import STUDIES
-    if name not in STUDIES:
-        failed([f"no study {name!r}; there are {', '.join(STUDIES)}"])
-    if not (STUDIES[name](days, sockets, seed) if name == "departures" else STUDIES[name]() is not False):
+    from mothnotch.studies import catalogue, merging
+    studies = {**catalogue.STUDIES, "merging": merging.study_merging, "hog": merging.study_hog}
+    if name not in studies:
+        failed([f"no study {name!r}; there are {', '.join(studies)}"])
+    if not (studies[name](days, sockets, seed) if name == "departures" else studies[name]() is not False):
         sys.exit(1)
 
 
--- a/mothnotch/config.py
+++ b/mothnotch/config.py
@@ -100,11 +100,17 @@
     message_limit: int = 1 << 20
     write_timeout_s: float = 30.0
     idle_s: float = 3600.0
-    merge_limit_bytes: int = 64 << 20
     plans: int = 512
     prepared: int = 256
 
 
+class MemoryConfig(Strict):
+    """Rows of all queries together, held in memory and on disk."""
+    limit_bytes: int = 256 << 20
+    disk_bytes: int = 4 << 30
+    directory: str | None = None       # of the runs on disk; none: the system's for temporary files
+
+
 class LeavesConfig(Strict):
     user: str = "mothnotch"
     database: str = "stock"
@@ -190,6 +196,7 @@
     auth: AuthConfig = AuthConfig()
     front: FrontConfig = FrontConfig()
     leaves: LeavesConfig = LeavesConfig()
+    memory: MemoryConfig = MemoryConfig()
     log: LogConfig = LogConfig()
     call_work_ms: float = 0.0
     weighted: bool = False
@@ -270,6 +277,10 @@
         wrong("listen", "names no address")
     if (config.roster is None) == (config.consul is None):
         wrong("roster", "state either roster, a file, or consul")
+    if config.memory.limit_bytes < 1 << 16 or config.memory.disk_bytes < 0:
+        wrong("memory", "limit_bytes must be 65536 at least, disk_bytes 0 at least")
+    if config.memory.directory is not None and not Path(config.memory.directory).is_dir():
+        wrong("memory.directory", f"{config.memory.directory!r} is no folder")
     if config.consul is not None:
         check_consul(config.consul, wrong)
     if config.auth.method != "trust" and not config.auth.users:
--- a/mothnotch/decisions/memory.py
+++ b/mothnotch/decisions/memory.py
@@ -12,6 +12,7 @@
 ALPHA = 1.0                      # a holder's cap, as a multiple of what is free, at the usual worth
 WORTH_SPAN = 4.0                 # worth moves a cap by this factor at most, either way
 RESERVE, SMALL = 1 / 16, 1 / 256  # of the limit: kept for holders of no more than the second
+RETRY_AFTER_US = 500_000         # advice to a query that is not admitted
 ADMIT_FREE = 1 / 64              # below this share of the memory or the disk, no new query is admitted
 
 
@@ -60,9 +61,11 @@
     def __init__(self, memory, disk, usual_worth=1.0):
         self.memory, self.disk, self.usual, self.factors = Pool(memory), Pool(disk), usual_worth, {}
 
-    def admit(self):
-        """Whether there is room for one more query at all: the limit acts before failure does."""
-        return all(pool.free >= ADMIT_FREE * pool.limit for pool in (self.memory, self.disk))
+    def admit(self, worth):
+        """Whether there is room for one more query at all: the limit acts before failure does, on the least worthy
+        first, as the module orders them."""
+        least = ADMIT_FREE * max(1.0, min(WORTH_SPAN, self.usual / worth if worth > 0 else WORTH_SPAN))
+        return all(pool.free >= least * pool.limit for pool in (self.memory, self.disk))
 
     def open(self, name, worth):
         """`worth` of a query for its work, as the module weighs it."""
--- a/mothnotch/decisions/outcomes.py
+++ b/mothnotch/decisions/outcomes.py
@@ -51,7 +51,8 @@
 FAILED_COMMIT = ("08007", "the transaction's fate is not known: it may have been committed",
                  "Look whether it took effect before you ask again.")
 FAILED_READ = ("57014", "no answer came in time; nothing was changed", "Asking again is harmless.")
-MERGE_FULL = ("53200", "the merged rows would pass {limit} bytes", "Ask for fewer rows, or aggregate them.")
+MERGE_FULL = ("53200", "the rows of this query have no room: this root holds {memory} bytes in memory and {disk} on disk for "
+              "all queries", "Ask for fewer rows, or aggregate them; or ask again when less is held.")
 PARTIAL = ("01MN1", "answered from {percent}% of the worth asked for; bin ranges missing: {missing}")
 COUNT_MOVED = ("40001", "could not serialize: a statement of the transaction would touch {now} rows at COMMIT, "
                "and {told} were told; nothing was changed", "Run the transaction again.")
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from mothnotch.fronts.session import REPORTED, Session, duration_ms
+from mothnotch.fronts.session import REPORTED, Session, Stream, duration_ms
 from mothnotch.net import serve, shut
 from mothnotch.pgwire import auth
 from mothnotch.pgwire import backend as b
@@ -17,6 +17,7 @@
 
 READ_AHEAD = 1 << 18             # bytes of a client's that may wait while a statement of its runs
 MOST_PORTALS = 64
+STREAM_ROWS = 512                # of a long answer taken at once
 CHUNK = 1 << 17                  # bytes of rows put together before they are sent
 
 
@@ -143,6 +144,7 @@
         finally:
             if self.session is not None:
                 front.clients.pop(self.session.pid, None)
+            self.drop_portals()
             shut(self.stream)
 
     async def farewell(self, sqlstate, text):
@@ -231,7 +233,7 @@
             if kind is wire.Sync:
                 self.session.synced()
                 if self.session.transaction.status.value == b"I":
-                    self.portals.clear()
+                    self.drop_portals()
                 self.out += self.ready()
             elif kind is wire.Flush:
                 await self.flush()
@@ -277,10 +279,14 @@
                 raise SqlError("42P02", "there is no parameter $1")
             answer = await self.session.execute(plan, values)
             self.ran(plan, answer)
+            tag = answer.tag
             if answer.rows is not None:
                 self.out += b.row_description([column(name, oid) for name, oid in plan.columns])
-                await self.rows(answer.rows, None, plan)
-            self.out += b.command_complete(answer.tag)
+                if type(answer.rows) is Stream:
+                    tag = f"{tag} {await self.stream_rows(answer.rows, None, plan)}"
+                else:
+                    await self.rows(answer.rows, None, plan)
+            self.out += b.command_complete(tag)
         self.session.synced()
         self.out += self.ready()
 
@@ -324,6 +330,21 @@
             if len(self.out) > CHUNK:
                 await self.flush()
 
+    async def stream_rows(self, stream, bind, plan, most=None):
+        """Sends a stream's rows, `most` at most; gives how many. At its end, and on any error, it is closed."""
+        sent = 0
+        try:
+            while most is None or sent < most:
+                rows = await stream.take(STREAM_ROWS if most is None else min(STREAM_ROWS, most - sent))
+                if not rows:
+                    break
+                await self.rows(rows, bind, plan)
+                sent += len(rows)
+        except BaseException:
+            stream.close()
+            raise
+        return sent
+
     async def on_parse(self, event):
         pieces = self.front.service.planner.split(event.sql)
         if len(pieces) > 1:
@@ -363,9 +384,17 @@
                 raise SqlError("22021", f"parameter ${n + 1} is not UTF-8") from None
             if isinstance(values[-1], str) and "\0" in values[-1]:
                 raise SqlError("22021", f"parameter ${n + 1} holds a zero byte")
+        self.drop_portals(event.portal)
         self.portals[event.portal] = Portal(prepared.plan, tuple(values), event)
         self.out += b.BIND_COMPLETE
 
+    def drop_portals(self, *names):
+        """Forgets portals, all if none is named; what their answers are held in is let go."""
+        for name in names or list(self.portals):
+            portal = self.portals.pop(name, None)
+            if portal is not None and portal.answer is not None and type(portal.answer.rows) is Stream:
+                portal.answer.rows.close()
+
     def portal(self, name):
         if name not in self.portals:
             raise SqlError("34000", f'portal "{name}" does not exist')
@@ -397,6 +426,12 @@
         if answer.rows is None:
             self.out += b.command_complete(answer.tag)
             return
+        if type(answer.rows) is Stream:
+            most = event.max_rows if event.max_rows > 0 else None
+            sent = await self.stream_rows(answer.rows, portal.formats, portal.plan, most)
+            # Whether that was the last row is not known before the next is asked for: PostgreSQL suspends then too.
+            self.out += b.PORTAL_SUSPENDED if sent == most else b.command_complete(f"{answer.tag} {sent}")
+            return
         rows = answer.rows[portal.at:portal.at + event.max_rows] if event.max_rows > 0 else answer.rows[portal.at:]
         await self.rows(rows, portal.formats, portal.plan)
         portal.at += len(rows)
@@ -413,7 +448,10 @@
             del self.statements[statement.name]
 
     async def on_close(self, event):
-        (self.statements if event.kind == "S" else self.portals).pop(event.name, None)
+        if event.kind == "S":
+            self.statements.pop(event.name, None)
+        else:
+            self.drop_portals(event.name)
         self.out += b.CLOSE_COMPLETE
 
 
--- a/mothnotch/fronts/session.py
+++ b/mothnotch/fronts/session.py
@@ -7,7 +7,8 @@
 
 import trio
 
-from mothnotch.decisions import outcomes, requests, transactions
+from mothnotch.decisions import coverage, outcomes, requests, transactions
+from mothnotch.decisions.coverage import Coverage, Piece
 from mothnotch.decisions.outcomes import Final
 from mothnotch.leaves.payload import Read, Statement, Write, affected
 from mothnotch.pgwire import types as t
@@ -16,7 +17,7 @@
 from mothnotch.root.request import PartSpec, Request
 from mothnotch.sql import local
 from mothnotch.sql.errors import SqlError, unsupported
-from mothnotch.sql.gather import gather
+from mothnotch.sql.gather import SMALL, gather, streamed
 
 UNITS = {"us": 0.001, "ms": 1, "s": 1000, "min": 60_000, "h": 3_600_000, "d": 86_400_000, "": 1}
 DEFAULTS = {
@@ -47,11 +48,34 @@
 class Answer:
     """What a statement gave: rows in text format, a command tag, and notices to go ahead of it."""
     tag: str
-    rows: list | None = None
+    rows: object = None                               # a list or a Stream; None: a statement without rows
     notices: list = field(default_factory=list)
     changed: dict = field(default_factory=dict)       # settings that the client is to be told
 
 
+class Stream:
+    """Rows that come in blocks and are read once. `close` lets go of what they are held in."""
+
+    def __init__(self, blocks, room):
+        self.blocks, self.room, self.rest, self.ended = blocks, room, [], False
+
+    async def take(self, most):
+        """The next rows, `most` at most; with an empty list there are no more. Lets others run in between."""
+        while not self.rest and not self.ended:
+            try:
+                self.rest = next(self.blocks)
+            except StopIteration:
+                self.close()
+            await trio.lowlevel.checkpoint()
+        rows, self.rest = self.rest[:most], self.rest[most:]
+        return rows
+
+    def close(self):
+        self.ended = True
+        self.blocks.close()
+        self.room.close()
+
+
 @dataclass(slots=True)
 class Service:
     """What all sessions of a root share."""
@@ -89,6 +113,7 @@
         self.transaction = transactions.Transaction()
         self.scope = None                      # of the request under way
         self.cancelled = False
+        self.coverage = Coverage(())           # of the last SELECT answered
         self.loose_write = False               # a write since the last Sync, outside of a transaction block
 
     # ---- settings ----
@@ -242,6 +267,10 @@
                                         for v, (_, oid) in zip(row, plan.columns, strict=True)]])
         if kind is local.NoRows:
             return Answer("SELECT 0", [])
+        if kind is local.CoverageRows:
+            rows = [[None if v is None else t.to_text(oid, v) for v, (_, oid) in
+                     zip(statement.of(piece), plan.columns, strict=True)] for piece in self.coverage.pieces]
+            return Answer(f"SELECT {len(rows)}", rows)
         return Answer(statement.tag)
 
     # ---- requests ----
@@ -254,17 +283,17 @@
         40003."""
         service, c = self.service, self.service.config.classes[kind]
         limit = requests.time_of(int(c.deadline_ms * 1000), int(duration_ms(self.settings["statement_timeout"]) * 1000))
-        cap = service.config.front.merge_limit_bytes
+        memory = service.config.memory
         sqlstate, text, hint = outcomes.MERGE_FULL
         request = Request(kind, self.user if self.user in service.config.tenants else None, key, now_us() + limit,
-                          tuple(parts), limit_bytes=cap,
-                          overflow=ErrorFields("ERROR", sqlstate, text.format(limit=cap), hint=hint))
+                          tuple(parts), worth=c.worth, overflow=ErrorFields(
+                              "ERROR", sqlstate, text.format(memory=memory.limit_bytes, disk=memory.disk_bytes), hint=hint))
         self.cancelled, outcome = False, None
         try:
             with trio.CancelScope() as self.scope:
                 outcome = await service.core.ask(request)
-        except Full:
-            return self.refused(0)
+        except Full as full:
+            return self.refused(full.args[1])
         finally:
             self.scope = None
         if outcome is None:
@@ -330,17 +359,33 @@
         self.settled(outcome)
         for took in outcome.took:
             self.service.costs.took(plan.shape, plan.tables, took)
-        parts = [outcome.rows[n].rows for n in sorted(outcome.rows)]
-        rows = gather(plan, parts, parameters)
-        answer = Answer(f"SELECT {len(rows)}", rows)
-        missing = [shards[n] for n in range(len(shards)) if n not in outcome.rows]
+        parts, room = [outcome.rows[n].rows for n in sorted(outcome.rows)], outcome.room
+        if room is None or room.held + room.spilled <= SMALL:
+            try:
+                rows = gather(plan, parts, parameters)
+            finally:
+                if room is not None:
+                    room.close()
+            answer = Answer(f"SELECT {len(rows)}", rows)
+        else:
+            answer = Answer("SELECT", Stream(streamed(plan, parts, parameters, room), room))
+        self.coverage = Coverage(tuple(self.piece(spec, n, outcome) for n, spec in enumerate(specs)))
+        missing = self.coverage.missing
         if missing:
             sqlstate, text = outcomes.PARTIAL
-            share = sum(spec.weight for n, spec in enumerate(specs) if n in outcome.rows)
-            answer.notices.append(ErrorFields("WARNING", sqlstate, text.format(
-                percent=int(share * 100), missing=", ".join(self.shown(shard) for shard in missing))))
+            fields = ErrorFields("WARNING", sqlstate, text.format(
+                percent=self.coverage.percent, missing=", ".join(coverage.shown(piece) for piece in missing)))
+            fields.detail = f"{coverage.because(missing)}. The oldest piece was read {self.coverage.oldest_us // 1000} ms ago."
+            answer.notices.append(fields)
+            self.service.core.log.info("answered in part", class_name=kind, share=self.coverage.share,
+                                       missing=coverage.because(missing))
         return answer
 
+    def piece(self, spec, n, outcome):
+        low, high = self.service.schema.range(spec.shard)
+        leaf, read_us = outcome.read.get(n, (None, None))
+        return Piece(low, high - 1, spec.weight, n in outcome.rows, outcome.why.get(n, ""), leaf, read_us)
+
     def shown(self, shard):
         low, high = self.service.schema.range(shard)
         return f"{low}..{high - 1}"
@@ -392,7 +437,9 @@
             specs = self.specs(plan, parameters, shards, plan.count_sql)
             outcome = await self.ask(self.class_for(False), specs, self.key_of(plan, parameters))
             self.settled(outcome)
-            told = int(outcome.rows[0].rows[0][0])
+            ((told,),) = outcome.rows[0].rows
+            outcome.room.close()
+            told = int(told)
         self.transaction.keep(self.bound(plan, parameters, shard), told, plan, shard, plan.table)
         return Answer(f"INSERT 0 {told}" if plan.tag == "INSERT" else f"{plan.tag} {told}")
 
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -98,8 +98,7 @@
         """Takes one event; gives bytes to send (none here)."""
         attempt, kind = self.attempts[self.at], type(event)
         if kind is client.Row:
-            if attempt.hold(event.size):
-                self.rows.rows.append(event.values)
+            attempt.keep(event.values, event.size)
         elif kind is client.Complete:
             self.rows.tags.append(event.tag)
         elif kind is client.Failed:
@@ -109,6 +108,7 @@
                 whose, result = outcomes.of_error(self.error.sqlstate)
                 attempt.fault(self.error) if whose is outcomes.Fault.QUERY else attempt.end(result)
             else:
+                self.rows.rows = attempt.take_rows()
                 attempt.end(i.Result.OK, self.rows)
             self.at, self.error, self.rows = self.at + 1, None, Rows()
             self.over = self.at == len(self.attempts)
@@ -125,6 +125,7 @@
         (self.attempt,) = self.attempts = attempts
         self.payload = self.attempt.payload
         self.over = self.committing = False
+        self.held = 0
         self.step = self.ran
         self.clear()
 
@@ -155,7 +156,8 @@
         """Takes one event; gives bytes to send: the next round's, or none."""
         kind = type(event)
         if kind is client.Row:
-            if self.attempt.hold(event.size):
+            self.held += event.size
+            if self.held <= 2 * ANSWER_LIMIT:        # past it the write is rolled back below
                 self.rows.rows.append(event.values)
         elif kind is client.Complete:
             self.completed.append(event.tag)
@@ -187,7 +189,7 @@
         last = self.answers[-1]
         self.answer = Rows(last.rows, tags)
         kept = packed(self.answer)
-        if len(kept) > ANSWER_LIMIT:
+        if len(kept) > ANSWER_LIMIT or self.held > ANSWER_LIMIT:
             return self.roll_back(ErrorFields("ERROR", "54000", f"the answer of a write would pass {ANSWER_LIMIT} "
                                               "bytes; nothing was changed", hint="Return fewer rows."))
         self.step, self.committing, self.attempt.part.committing = self.committed, True, True
--- a/mothnotch/leaves/payload.py
+++ b/mothnotch/leaves/payload.py
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True)
 class Rows:
-    """What one part brought: the rows as they came (values in text format), and command tags."""
+    """What one part brought: the rows as they came (values in text format; a list or a Spool), and command tags."""
     rows: list = field(default_factory=list)
     tags: list = field(default_factory=list)
 
--- a/mothnotch/merge/runs.py
+++ b/mothnotch/merge/runs.py
@@ -72,6 +72,7 @@
     def __init__(self, budget, name, directory=None):
         self.budget, self.name, self.directory, self.runs = budget, name, directory, []
         self.held = self.spilled = self.peak = 0
+        self.closed = False
 
     def hold(self, n):
         """Whether so many bytes more may be held in memory."""
@@ -82,8 +83,9 @@
         return True
 
     def let_go(self, n):
-        self.budget.let_go(self.name, n)
-        self.held -= n
+        if not self.closed:                  # else all was given back together
+            self.budget.let_go(self.name, n)
+            self.held -= n
 
     def disk(self, n):
         if self.budget.spill(self.name, n).value != "hold":
@@ -92,7 +94,8 @@
         return True
 
     def disk_back(self, n):
-        self.budget.give_back(self.name, n)
+        if not self.closed:
+            self.budget.give_back(self.name, n)
 
     def run(self):
         run = Run(self, self.directory)
@@ -100,15 +103,18 @@
         return run
 
     def drop(self, run):
-        run.close()
-        self.runs.remove(run)
+        if not self.closed:
+            run.close()
+            self.runs.remove(run)
 
     def close(self):
+        """Gives all back; what still refers to the room finds it closed."""
+        if self.closed:
+            return
         for run in self.runs:
             run.close()
-        self.runs = []
+        self.runs, self.closed, self.held = [], True, 0
         self.budget.close(self.name)
-        self.held = 0
 
 
 def blocks(items, most=BLOCK_ITEMS):
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -9,9 +9,13 @@
 
 import trio
 
+from mothnotch.decisions import coverage
 from mothnotch.decisions import interface as i
 from mothnotch.decisions.balance import Balancer
+from mothnotch.decisions.memory import RETRY_AFTER_US, Budget
 from mothnotch.decisions.outcomes import Final
+from mothnotch.merge.runs import Room, SpillError
+from mothnotch.merge.spool import Spool
 from mothnotch.root.request import Outcome
 
 
@@ -23,12 +27,11 @@
 class Attempt:
     """One send of a part. The leaf's driver collects into `rows` and calls `end` once; a later call does nothing."""
 
-    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "went_us", "rows", "size", "ended", "call",
-                 "core")
+    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "went_us", "rows", "ended", "call", "core", "spool")
 
     def __init__(self, core, part, n, server, limit_us):
         self.core, self.part, self.n, self.server, self.limit_us = core, part, n, server, limit_us
-        self.sent_us, self.rows, self.size, self.ended, self.call = now_us(), None, 0, False, None
+        self.sent_us, self.rows, self.ended, self.call, self.spool = now_us(), None, False, None, None
         self.went_us = self.sent_us                # when its bytes went out
 
     @property
@@ -40,17 +43,23 @@
         """When it times out, in trio's seconds."""
         return (self.sent_us + self.limit_us) / 1e6
 
-    def hold(self, size):
-        """Counts bytes to be held for this attempt; False if nobody wants them (any more)."""
-        self.size += size
+    def keep(self, row, size):
+        """Keeps a row that came for this attempt, if anybody wants it (any more)."""
         query = self.part.query
         if self.ended or query.outcome is not None:
-            return False
-        query.held += size
-        if query.held <= query.request.limit_bytes:
-            return True
-        self.core.fault(query, query.request.overflow)
-        return False
+            return
+        if self.spool is None:
+            self.spool = Spool(self.core.room(query))
+        try:
+            self.spool.add(row, size)
+        except SpillError as error:
+            self.core.log.warning("no room for a query's rows", query=query.id, why=str(error))
+            self.core.fault(query, query.request.overflow)
+
+    def take_rows(self):
+        """The rows kept so far; they are the caller's then."""
+        rows, self.spool = self.spool, None
+        return () if rows is None else rows
 
     def end(self, result, rows=None, report=None):
         """Tells the module how it ended. With OK, `rows` is the part's answer."""
@@ -61,8 +70,11 @@
         took = now_us() - self.went_us
         if result is i.Result.OK:
             self.part.rows, self.part.took_us = rows, took
-        elif not self.part.query.outcome:
-            self.part.query.held -= self.size
+            self.part.server, self.part.answered_us = self.server, now_us()
+        else:
+            self.part.last = result
+        if self.spool is not None:
+            self.spool.close()
         del self.part.out[self.n]
         if self.part.query.swept and not self.part.out:
             del self.core.parts[self.part.id]
@@ -83,6 +95,9 @@
     out: dict = field(default_factory=dict)        # attempts out, by number
     rows: object = None
     took_us: int = 0                               # of the attempt that brought them
+    server: str = ""                               # that brought them, and when
+    answered_us: int = 0
+    last: object = None                            # how its last attempt without an answer ended
     committing: bool = False                       # a COMMIT of its went out: it may have taken effect
 
 
@@ -94,12 +109,12 @@
     done: trio.Event
     parts: list = field(default_factory=list)
     outcome: Outcome | None = None
-    held: int = 0                                  # bytes of rows held for it
+    room: object = None                            # what its rows are held in, once one has come
     swept: bool = False                            # the module knows that it is over: nothing new can come for it
 
 
 class Full(Exception):
-    """The root holds as many queries as it may."""
+    """The root takes no more at present: (why, microseconds after which to ask again, or 0)."""
 
 
 class Core:
@@ -109,9 +124,10 @@
     bounded by those and by the attempts out, as each attempt ends once.
     """
 
-    def __init__(self, settings, seed, leaves, log, most_queries=10_000):
+    def __init__(self, settings, seed, leaves, log, most_queries=10_000, budget=None, directory=None):
         self.settings, self.leaves, self.log, self.most_queries = settings, leaves, log, most_queries
         self.balancer = Balancer(settings, seed)
+        self.budget, self.directory = budget or Budget(64 << 20, 1 << 30), directory     # of rows held
         self.events, self.woken, self.wakes = [], trio.Event(), []
         self.numbers = itertools.count(1)
         self.queries, self.parts, self.closing = {}, {}, []
@@ -120,7 +136,7 @@
                    i.Disconnect: self.on_disconnect, i.Subscribe: self.on_subscribe, i.Log: self.on_log}
         self.subscribe = trio.Event()              # set when the module asks for the list again
         self.counts = {"queries": 0, "answered": 0, "refused": 0, "failed": 0, "gone": 0, "sends": 0, "turns": 0,
-                       "in_part": 0, "faults": 0, "overdue": 0}
+                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
         self.guard = True                          # watches over the client's time; off only to test the auditor
@@ -130,7 +146,10 @@
     async def ask(self, request):
         """The final answer to a request. Cancelling the caller tells the module that the client left."""
         if len(self.queries) >= self.most_queries:
-            raise Full(f"{self.most_queries} queries are open")
+            raise Full(f"{self.most_queries} queries are open", 0)
+        if not self.budget.admit(request.worth):
+            self.counts["no_room"] += 1
+            raise Full("rows of other queries fill memory or disk", RETRY_AFTER_US)
         number = next(self.numbers)
         query = Query(f"q{number}", number, request, trio.Event())
         self.queries[query.id] = query
@@ -150,12 +169,23 @@
                 self.counts["overdue"] += 1
                 self.log.error("no final answer in the client's time", query=query.id, class_name=request.class_name)
                 self.leave(query, Outcome(Final.FAILED))
+        except BaseException:
+            if query.room is not None:               # answered, and nobody is there any more to read it
+                query.room.close()
+            raise
         finally:
             if query.outcome is None:
                 self.counts["gone"] += 1
                 self.leave(query, Outcome(Final.FAILED))
         return query.outcome
 
+    def room(self, query):
+        """The room of a query, made with its first row."""
+        if query.room is None:
+            self.budget.open(query.id, query.request.worth)
+            query.room = Room(self.budget, query.id, self.directory)
+        return query.room
+
     def news(self, news):
         """News about the list of leaves."""
         self.post(news)
@@ -179,6 +209,11 @@
 
     def close(self, query, outcome):
         query.outcome = outcome
+        if query.room is not None:
+            if outcome.final is Final.ANSWERED and outcome.error is None:
+                outcome.room = query.room
+            else:
+                query.room.close()
         del self.queries[query.id]
         self.closing.append(query)
         query.done.set()
@@ -271,7 +306,10 @@
         rows = {n: part.rows for n, part in enumerate(query.parts) if part.rows is not None}
         self.counts["in_part"] += not action.whole
         took = [part.took_us for part in query.parts if part.rows is not None]
-        self.finish(action.query, Outcome(Final.ANSWERED, action.whole, rows=rows, took=took), "answered")
+        why = {n: coverage.STILL_OUT if part.out else coverage.WHY[part.last]
+               for n, part in enumerate(query.parts) if part.rows is None}
+        read = {n: (part.server, self.now - part.answered_us) for n, part in enumerate(query.parts) if n in rows}
+        self.finish(action.query, Outcome(Final.ANSWERED, action.whole, rows=rows, took=took, why=why, read=read), "answered")
 
     def on_refuse(self, action):
         self.finish(action.query, Outcome(Final.REFUSED, retry_after_us=action.retry_after_us), "refused")
--- a/mothnotch/root/request.py
+++ b/mothnotch/root/request.py
@@ -23,8 +23,8 @@
     deadline_us: int
     parts: tuple[PartSpec, ...]
     repeated: bool = False
-    limit_bytes: int = 1 << 62   # rows of all parts together; past it the request ends with `overflow`
-    overflow: object = None      # what it ends with then: an error of the front's own making
+    worth: float = 1.0           # for its work, against the usual: how much of the memory it may hold
+    overflow: object = None      # what it ends with where neither memory nor disk has room: an error of the front's
 
     @property
     def cost_us(self):
@@ -42,3 +42,6 @@
     error: object = None
     may_have_run: bool = True                     # FAILED: whether an effect may have taken place
     took: list = field(default_factory=list)      # microseconds of each part's answer
+    why: dict = field(default_factory=dict)       # part number -> why it is missing (decisions/coverage.py)
+    read: dict = field(default_factory=dict)      # part number -> (leaf, microseconds from its answer to this one)
+    room: object = None                           # ANSWERED: what its rows are held in; closed by whoever reads them
--- a/mothnotch/sql/gather.py
+++ b/mothnotch/sql/gather.py
@@ -1,34 +1,166 @@
 """Puts the parts' rows together: merged order, DISTINCT, groups, HAVING, LIMIT and OFFSET.
 
-It holds what the parts brought, within the cap that the request states; `gather(plan, parts, parameters)` is
-all that is known of it outside, so that a merge within bounded memory can take its place.
+Small answers are put together in lists. Where the parts brought more than SMALL bytes, or any of it lies on disk, the
+answer is a stream of blocks instead, within the query's Room (mothnotch/merge): the same rows, in an order that
+differs at most where ORDER BY leaves it open.
 """
 from decimal import Decimal
 
+from mothnotch.merge.groups import Groups
+from mothnotch.merge.runs import BLOCK_ITEMS, SpillError, blocks
+from mothnotch.merge.sorting import OutOfOrder, Sorter, merge
 from mothnotch.pgwire import types as t
 from mothnotch.sql.errors import SqlError
 from mothnotch.sql.evaluate import EXACT, Evaluator, bounded, compare, divide_numeric, exp
 
+SMALL = 1 << 20                  # bytes held
+TURNED = bytes(255 - n for n in range(256))
+
 
 def gather(plan, parts, parameters):
     """The answer's rows, values in text format. `parts`: the rows of each part, in the order of their ranges."""
     g = plan.gather
     skip, show = g.limits(parameters)
     if g.grouped:
-        rows = over_groups(plan, parts, parameters)
+        groups = {}
+        for part in parts:
+            for key, states in partial_groups(g, part):
+                found = groups.setdefault(key, states)
+                if found is not states:
+                    add_states(g)(found, states)
+        rows = list(over_groups(g, groups.items(), parameters))
+        if g.distinct:
+            seen = {}
+            for row in rows:
+                seen.setdefault(tuple(row[:g.width]), row)
+            rows = list(seen.values())
     elif g.distinct:
         rows = distinct((row for part in parts for row in part), g.oids)
     else:
         rows = [row for part in parts for row in part]
     if g.keys:
         in_order(rows, g.keys, decoded=g.grouped)
-    rows = rows[skip:None if show is None else skip + show]
+    return shown(plan, rows[skip:None if show is None else skip + show])
+
+
+def shown(plan, rows):
+    """Rows as the client gets them: in text, without what they were sorted by."""
+    g = plan.gather
     if g.grouped:
         oids = [oid for _, oid in plan.columns]
         return [[None if v is None else t.to_text(oid, v) for v, oid in zip(row, oids, strict=False)] for row in rows]
     return rows if len(g.oids) == g.width else [row[:g.width] for row in rows]
 
 
+def streamed(plan, parts, parameters, room):
+    """The answer's rows in blocks, within the room. An empty block says that it is at work and has none yet.
+    SqlError 53200 where neither memory nor disk has room, XX000 where a leaf's rows are not in the order asked for."""
+    try:
+        yield from limited(plan, ordered(plan, parts, parameters, room), parameters)
+    except SpillError as error:
+        raise SqlError("53200", f"the merge has no room: {error}", "Ask for fewer rows, or aggregate them.") from None
+    except OutOfOrder:
+        raise SqlError("XX000", "a leaf sent rows that are not in the order asked for") from None
+
+
+def limited(plan, found, parameters):
+    skip, show = plan.gather.limits(parameters)
+    for block in found:
+        if skip:
+            dropped = min(skip, len(block))
+            skip, block = skip - dropped, block[dropped:]
+        if show is not None:
+            block = block[:show]
+            show -= len(block)
+        yield shown(plan, block)
+        if show == 0:
+            return                                   # what the parts hold beyond is not read
+
+
+def ordered(plan, parts, parameters, room):
+    g = plan.gather
+    if not g.grouped and not g.distinct:
+        if g.keys:
+            yield from merge([part_blocks(part) for part in parts], sort_key(g.keys, False))
+        else:
+            for part in parts:
+                yield from part_blocks(part)
+        return
+    if g.grouped:
+        groups = Groups(room, add_states(g), lambda key: canon(key).encode())
+        for part in parts:
+            for n, (key, states) in enumerate(partial_groups(g, part)):
+                groups.put(key, states)
+                if n % BLOCK_ITEMS == 0:
+                    yield []
+        rows = over_groups(g, groups, parameters)
+        if g.distinct:
+            rows = unique(room, ((tuple(row[:g.width]), row) for row in rows))
+    else:
+        rows = unique(room, ((decoded_key(row, g.oids), row) for part in parts for row in part))
+    if not g.keys:
+        yield from blocks(rows)
+        return
+    sorter = Sorter(room, sort_key(g.keys, g.grouped))
+    for n, row in enumerate(rows):
+        sorter.add(row)
+        if n % BLOCK_ITEMS == 0:
+            yield []
+    yield from sorter.blocks()
+
+
+def part_blocks(part):
+    return part.blocks() if hasattr(part, "blocks") else blocks(part)
+
+
+def unique(room, pairs):
+    """One row of each set with equal keys."""
+    found = Groups(room, lambda state, other: None, lambda key: canon(key).encode())
+    for key, row in pairs:
+        found.put(key, row)
+    return (row for _, row in found)
+
+
+def decoded_key(row, oids):
+    return tuple(None if v is None else t.from_text(oid, v) for v, oid in zip(row, oids, strict=True))
+
+
+def canon(key):
+    """A text that is equal for equal keys, whatever their numerics' scale."""
+    return repr(tuple(v.normalize(EXACT) + 0 if isinstance(v, Decimal) else v + 0.0 if isinstance(v, float) else v
+                      for v in key))
+
+
+def sort_key(keys, decoded):
+    """A function from a row to something that compares as ORDER BY says."""
+    parts = [(key.column, key.oid, key.desc, (0, 1) if key.nulls_first else (1, 0)) for key in keys]
+
+    def place(row):
+        out = []
+        for at, oid, desc, (null, other) in parts:
+            value = row[at]
+            if value is None:
+                out.append((null,))
+                continue
+            if not decoded and oid not in t.TEXTS:
+                value = t.from_text(oid, value)
+            out.append((other, turned(value) if desc else value))
+        return out
+
+    return place
+
+
+def turned(value):
+    """What compares the other way round."""
+    if isinstance(value, str):
+        value = value.encode()
+    if isinstance(value, bytes):
+        return value.translate(TURNED) + b"\xff"     # text holds no zero byte, so that no turned byte is 255
+    if isinstance(value, Decimal):
+        return value.copy_negate()
+    return -value.toordinal() if hasattr(value, "toordinal") else -value
+
+
 def in_order(rows, keys, decoded):
     """Sorts in place, the last key first: each pass keeps the order of the passes before it."""
     for key in reversed(keys):
@@ -97,35 +229,48 @@
     return state
 
 
-def over_groups(plan, parts, parameters):
-    """The groups' output rows, decoded, with sort keys behind the shown columns."""
-    g, groups = plan.gather, {}
+def add_states(g):
+    """Merges a group's states into those of the same group."""
+    kinds = [kind for kind, _ in g.finals]
+
+    def merge_states(into, other):
+        for n, kind in enumerate(kinds):
+            into[n] = joined(kind, into[n], other[n])
+
+    return merge_states
+
+
+def joined(kind, a, b):
+    """Two states of one aggregate as one."""
+    if a is None or b is None:
+        return b if a is None else a
+    return add(kind, a, b if kind == "avg" else (b,))
+
+
+def partial_groups(g, part):
+    """(key, states) of each of a part's rows."""
     widths = [2 if kind == "avg" else 1 for kind, _ in g.finals]
-    for part in parts:
-        for row in part:
-            try:
-                values = [None if v is None else t.from_text(oid, v) for v, oid in zip(row, g.oids, strict=True)]
-            except ValueError:
-                raise SqlError("XX000", f"a leaf sent {len(row)} columns where {len(g.oids)} were asked for") from None
-            key = tuple(values[:g.groups])
-            states = groups.get(key)
-            if states is None:
-                states = groups[key] = [None] * len(g.finals)
+    for row in part:
+        try:
+            values = decoded_key(row, g.oids)
+        except ValueError:
+            raise SqlError("XX000", f"a leaf sent {len(row)} columns where {len(g.oids)} were asked for") from None
+        yield values[:g.groups], [add(kind, None, values[at:at + width])
+                                  for (kind, at), width in zip(g.finals, widths, strict=True)]
+
+
+def over_groups(g, groups, parameters):
+    """The groups' output rows, decoded, with sort keys behind the shown columns."""
+    evaluator, some = Evaluator(parameters), False
+    empty = [((), [None] * len(g.finals))]
+    for found in (groups, empty):
+        if found is empty and (some or g.groups):
+            return
+        for key, states in found:
+            some = True
+            evaluator.known = {("g", n): value for n, value in enumerate(key)}
             for n, (kind, at) in enumerate(g.finals):
-                states[n] = add(kind, states[n], values[at:at + widths[n]])
-    if not groups and not g.groups:
-        groups[()] = [None] * len(g.finals)
-    evaluator, rows = Evaluator(parameters), []
-    for key, states in groups.items():
-        evaluator.known = {("g", n): value for n, value in enumerate(key)}
-        for n, (kind, at) in enumerate(g.finals):
-            evaluator.known["a", n] = final(kind, states[n], g.oids[at])
-        if g.having is not None and evaluator.value(g.having) is not True:
-            continue
-        rows.append([evaluator.value(node) for node in g.outputs])
-    if g.distinct:
-        seen = {}
-        for row in rows:
-            seen.setdefault(tuple(row[:g.width]), row)
-        rows = list(seen.values())
-    return rows
+                evaluator.known["a", n] = final(kind, states[n], g.oids[at])
+            if g.having is not None and evaluator.value(g.having) is not True:
+                continue
+            yield [evaluator.value(node) for node in g.outputs]
--- a/mothnotch/sql/local.py
+++ b/mothnotch/sql/local.py
@@ -93,6 +93,15 @@
     tag: str = "SELECT"
 
 
+@dataclass(slots=True, frozen=True)
+class CoverageRows:
+    names: tuple
+    tag: str = "SELECT"
+
+    def of(self, piece):
+        return [COVERAGE[name][1](piece) for name in self.names]
+
+
 @dataclass(slots=True, frozen=True)
 class NoRows:
     tag: str = "SELECT"
@@ -285,6 +294,35 @@
     return Plan("local", "SELECT", columns, typer.scope.oids(), statement=Values(tuple(nodes)))
 
 
+COVERAGE = {
+    "range_low": (t.INT8, lambda p: p.low), "range_high": (t.INT8, lambda p: p.high),
+    "share": (t.FLOAT8, lambda p: p.weight), "answered": (t.BOOL, lambda p: p.answered),
+    "why": (t.TEXT, lambda p: p.why or None), "leaf": (t.TEXT, lambda p: p.leaf),
+    "read_ms_ago": (t.FLOAT8, lambda p: None if p.read_us is None else p.read_us / 1000),
+}
+
+
+def covers(tree):
+    """Whether a SELECT asks for the coverage of the answer before it."""
+    return any(x.name.lower() == "mothnotch_coverage" for x in tree.find_all(exp.Table))
+
+
+def covered(tree):
+    """SELECT * or columns FROM mothnotch_coverage: a row for each part of the last SELECT answered."""
+    from mothnotch.sql.plan import Plan
+    if any(tree.args.get(k) for k in ("where", "order", "group", "having", "limit", "offset", "joins", "distinct")):
+        raise unsupported("a clause over mothnotch_coverage", "select its columns and sort them out yourself")
+    names = []
+    for node in tree.expressions:
+        if isinstance(node, exp.Star):
+            names += COVERAGE
+        elif isinstance(node, exp.Column) and folded(node.this) in COVERAGE:
+            names.append(folded(node.this))
+        else:
+            raise SqlError("42703", f"mothnotch_coverage has the columns {', '.join(COVERAGE)}")
+    return Plan("local", "SELECT", [(name, COVERAGE[name][0]) for name in names], statement=CoverageRows(tuple(names)))
+
+
 def catalogue(tree):
     """Whether a SELECT asks the system catalogue about types; other questions to it are refused."""
     tables = list(tree.find_all(exp.Table))
--- a/mothnotch/sql/plan.py
+++ b/mothnotch/sql/plan.py
@@ -246,6 +246,8 @@
         source = tree.args.get("from_")
         if source is None:
             return local.select(tree, declared)
+        if local.covers(tree):
+            return local.covered(tree)
         if local.catalogue(tree):
             return local.empty(tree, declared)
         return Reading(self.schema, declared).plan(tree)
