--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -4,10 +4,15 @@
 (`trio.current_time`), so a virtual clock needs nothing here but the wall clock of the same run.
 """
 import socket
+import struct
 import time
 
 import trio
 
+STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)      # Linux: control messages with the time a segment came
+STAMPED = struct.Struct("@ll")
+ANCILLARY = socket.CMSG_SPACE(STAMPED.size) if hasattr(socket, "CMSG_SPACE") else 0
+
 
 class AddressError(ValueError):
     """An address that cannot be read."""
@@ -64,6 +69,34 @@
         """Runs something that computes for long in a thread, a few at a time; a cancel leaves it to itself."""
         return await trio.to_thread.run_sync(function, *args, limiter=self.limiter, abandon_on_cancel=True)
 
+    def prepare(self, stream):
+        """Makes a stream ready for `receive`: the kernel notes when data comes, and small writes leave at once."""
+        sock = stream.socket
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.SOL_SOCKET, STAMP, 1)
+        except OSError:
+            pass                                       # a Unix socket, or a kernel without it: read time counts
+
+    async def receive(self, stream, most):
+        """(data, when it came): what a socket holds, `most` bytes at once, b"" at its end, and the time on trio's
+        clock at which the kernel had the last of it. A root that was busy or throttled reads late; what it
+        believes of its leaves must not include that."""
+        sock = stream.socket._sock
+        while True:
+            await trio.lowlevel.wait_readable(sock)    # always: one read a pass, so that no peer holds up others
+            try:
+                data, ancillary, _, _ = sock.recvmsg(most, ANCILLARY)
+            except (BlockingIOError, InterruptedError):
+                continue
+            now = trio.current_time()
+            if ancillary and len(ancillary[0][2]) == STAMPED.size:
+                seconds, nanos = STAMPED.unpack(ancillary[0][2])
+                ago = time.time() - (seconds + nanos / 1e9)
+                if 0 < ago < 10:                       # else the wall clock was set
+                    return data, now - ago
+            return data, now
+
     def send_now(self, stream, data):
         """Sends what the socket takes at once; gives how many bytes that was. Not while a `send_all` runs."""
         try:
@@ -222,6 +255,12 @@
         await trio.lowlevel.checkpoint()
         return function(*args)
 
+    def prepare(self, stream):
+        pass
+
+    async def receive(self, stream, most):
+        return await stream.receive_some(most), trio.current_time()
+
     def send_now(self, stream, data):
         return stream.send_now(data)
 
--- /dev/null
+++ b/mothnotch/node/__main__.py
@@ -0,0 +1,56 @@
+"""`python -m mothnotch.node`: one real root on the platform, in the foreground."""
+import gc
+import os
+import signal
+import sys
+
+# From the first moment on: a signal that comes while the rest is imported must not end the program.
+EARLY = []
+for number in (signal.SIGHUP, signal.SIGTERM):
+    signal.signal(number, lambda n, frame: EARLY.append(n))
+
+import trio  # noqa: E402
+
+from mothnotch.net import SocketNetwork  # noqa: E402
+from mothnotch.node.config import ConfigError, load  # noqa: E402
+from mothnotch.node.log import Log  # noqa: E402
+from mothnotch.node.root import NodeRoot  # noqa: E402
+
+
+async def serve(config, path, log):
+    with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as received:
+        async with trio.open_nursery() as nursery:
+            root = NodeRoot(config, SocketNetwork(), log, path)
+
+            async def run(task_status):
+                await root.run(task_status)
+                nursery.cancel_scope.cancel()
+
+            await nursery.start(run)
+            for number in EARLY:
+                os.kill(os.getpid(), number)
+            gc.collect()
+            gc.freeze()                      # what is there now stays: it need not be looked at again
+            await root.signals(received)
+
+
+def main():
+    path, log = os.environ.get("BALANCER_CONFIG", ""), Log()
+    try:
+        if not path:
+            raise ConfigError("BALANCER_CONFIG is not set; it names the configuration file")
+        config = load(path)
+    except ConfigError as error:
+        print(f"mothnotch: {error}", file=sys.stderr)
+        return 2
+    try:
+        trio.run(serve, config, path, log)
+    except* OSError as group:
+        for error in group.exceptions:
+            print(f"mothnotch: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/mothnotch/node/calls.py
@@ -0,0 +1,366 @@
+"""Calls to the leaves: connections that carry many parts at once.
+
+What an attempt ends with follows the platform's table; it turns on whether the last byte of its frame was taken by
+the socket: before that it never ran (UNREACHABLE), from then on it may have (BROKEN, TIMEOUT). Bounds: `streams`
+parts on a connection, `most` connections in all, past which an attempt ends UNSENT and the module is asked again;
+ids given up are kept by connection, SPENT at most.
+"""
+from collections import deque
+
+import trio
+
+from mothnotch.decisions import interface as i
+from mothnotch.leaves.timeouts import Timeouts
+from mothnotch.net import shut
+from mothnotch.node import frames
+
+READ = 1 << 15                   # bytes read at once
+SPENT = 1024                     # ids given up and not answered yet that a connection may have
+RESULTS = {"good": i.Result.OK, "bad": i.Result.ERROR, "later": i.Result.REJECTED}
+SWEEP_S = 0.5
+
+
+class Leaf:
+    def __init__(self, name, address):
+        self.name, self.address, self.takes_new, self.links = name, address, True, []
+
+
+class Link:
+    """One connection to a leaf, under way or made."""
+
+    __slots__ = ("leaf", "address", "stream", "reader", "out", "spent", "waiting", "rest", "given", "queued", "ends",
+                 "probes", "idle_since", "dead", "no_more")
+
+    def __init__(self, leaf):
+        self.leaf, self.address, self.stream, self.reader = leaf, leaf.address, None, frames.Reader()
+        self.out, self.spent = {}, {}        # wire id -> attempt; ids given up whose answer may still come
+        self.waiting = []                    # attempts for whom the connection is being made
+        self.rest, self.given, self.queued = bytearray(), 0, 0     # unsent bytes; bytes the socket took; all bytes
+        self.ends = deque()                  # (offset of the frame's end, attempts) not taken by the socket yet
+        self.probes = deque()                # (sent_us, post) of the probes out
+        self.idle_since, self.dead, self.no_more = trio.current_time(), False, False
+
+    @property
+    def load(self):
+        return len(self.out) + len(self.waiting)
+
+
+class Ticket:
+    """What an attempt knows of the connection it is on."""
+
+    __slots__ = ("calls", "link", "wire_id", "went")
+
+    def __init__(self, calls, link, wire_id):
+        self.calls, self.link, self.wire_id, self.went = calls, link, wire_id, False
+
+    def dropped(self, attempt):
+        """The attempt was called off."""
+        self.calls.give_up(self, attempt)
+
+
+class Calls:
+    """All leaves. `send`, `disconnect` and `probe` are what the core uses."""
+
+    def __init__(self, network, log, streams, per_call, most, idle_s, connect_s):
+        self.network, self.log, self.streams, self.per_call = network, log, streams, max(1, per_call)
+        self.most, self.idle_s, self.connect_s = most, idle_s, connect_s
+        self.leaves, self.open = {}, 0
+        self.timeouts = Timeouts(self.timed_out)
+        self.counts = {"connects": 0, "connects_failed": 0, "frames": 0, "given_up": 0, "spoilt": 0, "over_most": 0,
+                       "late": 0}
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Runs until cancelled; every connection's task lives in its nursery."""
+        async with trio.open_nursery() as self.nursery:
+            self.nursery.start_soon(self.timeouts.run)
+            self.nursery.start_soon(self.sweep)
+            task_status.started()
+            await trio.sleep_forever()
+
+    # ---- the list ----
+
+    def follow(self, leaves, whole):
+        """The list's leaves, or those of it that changed."""
+        gone = set(self.leaves) - {leaf.name for leaf in leaves} if whole else set()
+        for leaf in leaves:
+            if leaf.state == "removed":
+                gone.add(leaf.name)
+                continue
+            known = self.leaves.get(leaf.name)
+            if known is None:
+                known = self.leaves[leaf.name] = Leaf(leaf.name, leaf.address)
+            elif known.address != leaf.address:
+                known.address = leaf.address
+                self.retire(known)
+            known.takes_new = leaf.state == "up"
+        for name in gone:
+            leaf = self.leaves.pop(name, None)
+            if leaf is not None:
+                leaf.takes_new = False
+                self.retire(leaf)
+
+    def retire(self, leaf):
+        """Its connections carry nothing new; they go once nothing is out on them."""
+        for link in list(leaf.links):
+            link.no_more = True
+            self.close_if_idle(link)
+
+    def disconnect(self, name):
+        leaf = self.leaves.get(name)
+        for link in list(leaf.links) if leaf else ():
+            self.close_if_idle(link)
+
+    def close_if_idle(self, link):
+        if link.stream is not None and not link.out and not link.waiting:
+            self.lost(link)
+
+    # ---- sending ----
+
+    def send(self, name, attempts):
+        """Sends what one turn has for a leaf. Each attempt ends exactly once, whatever comes."""
+        leaf = self.leaves.get(name)
+        if leaf is None:
+            for attempt in attempts:
+                attempt.end(i.Result.UNREACHABLE)
+            return
+        for attempt in attempts:
+            self.timeouts.put(attempt)
+        for at in range(0, len(attempts), self.per_call):
+            self.place(leaf, attempts[at:at + self.per_call])
+
+    def place(self, leaf, attempts):
+        ids = [attempt.payload.wire_id for attempt in attempts]
+        link = next((k for k in leaf.links if not k.no_more and k.load + len(ids) <= self.streams
+                     and not any(x in k.spent or x in k.out for x in ids)), None)
+        if link is None:
+            if self.open >= self.most:
+                self.counts["over_most"] += 1
+                for attempt in attempts:
+                    attempt.end(i.Result.UNSENT)
+                return
+            link = Link(leaf)
+            leaf.links.append(link)
+            self.open += 1
+            self.nursery.start_soon(self.connect, link)
+        for attempt, wire_id in zip(attempts, ids, strict=True):
+            attempt.call = Ticket(self, link, wire_id)
+        if link.stream is None:
+            link.waiting += attempts
+        else:
+            self.write(link, attempts)
+
+    def write(self, link, attempts):
+        """Writes one call's frame."""
+        if not link.leaf.takes_new:
+            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
+            for attempt in attempts:
+                attempt.end(i.Result.UNSENT)
+            return
+        now, parts = trio.current_time(), []
+        for attempt in attempts:
+            link.out[attempt.call.wire_id] = attempt
+            ms = max(1, int((attempt.deadline - now) * 1000))
+            parts.append((attempt.call.wire_id, attempt.part.spec.shard, ms, attempt.payload.key, attempt.payload.text))
+        data = frames.call(parts)
+        self.counts["frames"] += 1
+        link.queued += len(data)
+        link.ends.append((link.queued, attempts))
+        self.push(link, data)
+
+    def push(self, link, data):
+        if link.rest:
+            link.rest += data
+            return
+        try:
+            n = self.network.send_now(link.stream, data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.lost(link)
+            return
+        self.taken(link, n)
+        if n < len(data):
+            link.rest += data[n:]
+            self.nursery.start_soon(self.send_rest, link)
+
+    def taken(self, link, n):
+        """The socket took n bytes more: frames that are out whole may run from now on."""
+        link.given += n
+        while link.ends and link.ends[0][0] <= link.given:
+            went = int(trio.current_time() * 1e6)
+            for attempt in link.ends.popleft()[1]:
+                attempt.went_us, attempt.call.went = went, True
+
+    async def send_rest(self, link):
+        try:
+            while link.rest and not link.dead:
+                await link.stream.wait_send_all_might_not_block()
+                if link.dead:
+                    return
+                if not link.leaf.takes_new and len(link.rest) == link.queued - link.given and link.ends:
+                    self.withdraw(link)
+                n = self.network.send_now(link.stream, bytes(link.rest)) if link.rest else 0
+                del link.rest[:n]
+                self.taken(link, n)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.lost(link)
+
+    def withdraw(self, link):
+        """Told that the leaf drains while frames wait that the socket has not begun to take: the connection goes, as
+        what is behind cannot be told apart any more; those attempts never ran."""
+        self.lost(link)
+
+    # ---- answers ----
+
+    async def read(self, link):
+        """The task of a connection: takes in what the leaf says until it is gone."""
+        try:
+            while not link.dead:
+                data, at = await self.network.receive(link.stream, READ)
+                if link.dead:
+                    return
+                if not data:
+                    break
+                found, error = link.reader.feed(data)
+                for letter, rest in found:
+                    self.take(link, letter, rest, int(at * 1e6))
+                if error is not None:
+                    raise error
+        except frames.FrameError as error:
+            self.counts["spoilt"] += 1
+            self.log.warning("leaf broke the protocol", leaf=link.leaf.name, error=str(error))
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self.lost(link)
+
+    def take(self, link, letter, rest, at_us):
+        if letter == b"q":
+            wire_id, end, report, value = frames.answer(rest)
+            attempt = link.out.pop(wire_id, None)
+            if attempt is None:
+                if wire_id not in link.spent:
+                    raise frames.FrameError("an answer to nothing that is out")
+                del link.spent[wire_id]           # given up before: it counts for nothing
+                self.counts["late"] += 1
+            elif not attempt.call.went:
+                link.out[wire_id] = attempt
+                raise frames.FrameError("an answer to what has not gone out")
+            else:
+                attempt.end(RESULTS[end], value, report, at_us)
+            self.rested(link)
+        elif letter in b"op" and link.probes:
+            sent_us, post = link.probes.popleft()
+            result = i.Result.ERROR if rest == b"bad" else i.Result.OK
+            post(i.ProbeEnded(link.leaf.name, result, max(0, at_us - sent_us), frames.report(rest)))
+        else:
+            raise frames.FrameError(f"an unexpected frame {letter!r}: {rest[:80]!r}")
+
+    def rested(self, link):
+        if not link.out and not link.dead:
+            link.idle_since = trio.current_time()
+            if link.no_more:
+                self.lost(link)
+
+    # ---- ends ----
+
+    def give_up(self, ticket, attempt):
+        """Nobody waits for an attempt any more: the leaf is told, unless its frame never left."""
+        link, wire_id = ticket.link, ticket.wire_id
+        if attempt in link.waiting:
+            link.waiting.remove(attempt)
+            return
+        if link.dead or link.out.get(wire_id) is not attempt:
+            return
+        del link.out[wire_id]
+        self.counts["given_up"] += 1
+        link.spent[wire_id] = None
+        if len(link.spent) > SPENT:
+            del link.spent[next(iter(link.spent))]
+        if link.rest:
+            # The word cannot leave at once, and the next attempt would overtake it: only a close is as quick.
+            self.lost(link)
+            return
+        data = frames.give_up(wire_id)
+        link.queued += len(data)
+        self.push(link, data)
+        self.rested(link)
+
+    def timed_out(self, attempt, now):
+        ticket = attempt.call
+        if ticket is None:
+            return
+        attempt.end(i.Result.TIMEOUT if ticket.went else i.Result.UNREACHABLE)
+        self.give_up(ticket, attempt)
+
+    def lost(self, link):
+        """The connection is gone: what went out on it is reset, the rest never ran."""
+        if link.dead:
+            return
+        link.dead = True
+        self.open -= 1
+        link.leaf.links.remove(link)
+        if link.stream is not None:
+            shut(link.stream)
+        out, link.out = link.out, {}
+        for attempt in out.values():
+            attempt.end(i.Result.BROKEN if attempt.call.went else i.Result.UNREACHABLE)
+        waiting, link.waiting = link.waiting, []
+        for attempt in waiting:
+            attempt.end(i.Result.UNREACHABLE)
+        while link.probes:
+            sent_us, post = link.probes.popleft()
+            post(i.ProbeEnded(link.leaf.name, i.Result.BROKEN, 0, None))
+
+    # ---- probes ----
+
+    def probe(self, name, post):
+        """Asks a leaf for its load over a connection that stands; without one there is no probe."""
+        leaf = self.leaves.get(name)
+        link = next((k for k in leaf.links if k.stream is not None and not k.no_more), None) if leaf else None
+        if link is None or len(link.probes) >= self.streams:
+            post(i.ProbeEnded(name, i.Result.UNSENT, 0, None))
+            return
+        link.probes.append((int(trio.current_time() * 1e6), post))
+        data = frames.frame(b"p")
+        link.queued += len(data)
+        self.push(link, data)
+
+    # ---- connections ----
+
+    async def connect(self, link):
+        self.counts["connects"] += 1
+        stream = None
+        try:
+            with trio.move_on_after(self.connect_s):
+                stream = await self.network.open(link.address)
+        except (OSError, trio.BrokenResourceError):
+            pass
+        if stream is None or link.dead:
+            self.counts["connects_failed"] += 1
+            if stream is not None:
+                shut(stream)
+            self.lost(link)
+            return
+        self.network.prepare(stream)
+        link.stream = stream
+        waiting, link.waiting = link.waiting, []
+        link.idle_since = trio.current_time()
+        live = [attempt for attempt in waiting if not attempt.ended]
+        for at in range(0, len(live), self.per_call):
+            if not link.dead:
+                self.write(link, live[at:at + self.per_call])
+        if link.dead:
+            for attempt in live:
+                attempt.end(i.Result.UNREACHABLE)
+            return
+        if link.no_more:
+            self.close_if_idle(link)
+        await self.read(link)
+
+    async def sweep(self):
+        """Closes connections that nobody used for long."""
+        while True:
+            await trio.sleep(SWEEP_S)
+            before = trio.current_time() - self.idle_s
+            for leaf in list(self.leaves.values()):
+                for link in list(leaf.links):
+                    if link.idle_since < before and not link.out:
+                        self.close_if_idle(link)
--- /dev/null
+++ b/mothnotch/node/front.py
@@ -0,0 +1,315 @@
+"""The HTTP front: one task a client connection, which reads; the answer leaves in the turn that decided it.
+
+Bounds: a head of 16 KiB (h11's), a body of 64 KiB, one open request a connection and as much again read ahead of
+it, connections as decisions/shares.py says. A request has to come whole, and its answer to be taken, in stated times;
+one sweep watches over all of them.
+"""
+import h11
+import trio
+
+from mothnotch.decisions import shares
+from mothnotch.decisions.outcomes import Final
+from mothnotch.net import shut
+from mothnotch.node import requests
+from mothnotch.root.core import Full
+
+READ = 1 << 15                   # bytes read at once
+AHEAD = 1 << 16                  # bytes of later requests taken while one is open
+SWEEP_S = 0.25
+JSON, TEXT = "application/json", "text/plain"
+
+
+class Client:
+    """A client's connection: h11 holds the protocol, `feed` and `finished` drive it."""
+
+    def __init__(self, front, stream):
+        self.front, self.stream, self.http = front, stream, h11.Connection(h11.SERVER)
+        self.query, self.name, self.head, self.body = None, None, None, bytearray()
+        self.since = trio.current_time()      # of connecting, of the first byte of a request, of the last answer
+        self.at = self.since                  # when the last data came
+        self.partial, self.dead, self.rest = False, False, bytearray()
+        self.closing, self.ahead, self.served = False, 0, False
+
+    @property
+    def idle(self):
+        """Between requests, with nothing of a next one read."""
+        return self.query is None and not self.partial and not self.rest
+
+    def due(self, s):
+        """When the sweep is to end it; None while a query is open."""
+        if self.rest:
+            return self.since + s.send_s
+        if self.query is not None:
+            return None
+        return self.since + (s.client_idle_s if self.served and not self.partial else s.request_s)
+
+    # ---- what comes ----
+
+    def feed(self, data, at):
+        """Takes what the client sent; b"" is its end."""
+        self.at = at
+        if not data:
+            self.front.close(self)
+            return
+        if self.query is not None:
+            self.ahead += len(data)
+        elif not self.partial:
+            self.partial, self.since = True, at
+        try:
+            self.http.receive_data(data)
+            self.advance()
+        except h11.RemoteProtocolError as error:
+            self.fail(error.error_status_hint, str(error))
+
+    def advance(self):
+        """Goes on as far as what has come allows: to the end of it, or to an open query."""
+        while self.query is None and not self.rest and not self.dead and not self.closing:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                # Nothing but whole requests so far: what is kept of a next one is told by h11's buffer.
+                self.partial = self.head is not None or bool(self.http.trailing_data[0])
+                return
+            if isinstance(event, h11.Request):
+                self.begun(event)
+            elif isinstance(event, h11.Data):
+                self.body += event.data
+                if len(self.body) > requests.BODY:
+                    raise requests.BadRequest(413, f"a body of more than {requests.BODY} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                self.whole()
+            else:                              # PAUSED or ConnectionClosed: nothing more is read here
+                return
+
+    def begun(self, head):
+        """The head has come: what can be told from it is told before any of the body is kept."""
+        length = chunked = False
+        for name, value in head.headers:
+            if name == b"content-length":
+                length = True
+                if len(value) > 9 or int(value) > requests.BODY:
+                    raise requests.BadRequest(413, f"a body of more than {requests.BODY} bytes")
+            elif name == b"transfer-encoding":
+                chunked = True
+        if length and chunked:
+            # One of the two hides another request from whoever believes the other.
+            raise requests.BadRequest(400, "both Content-Length and Transfer-Encoding")
+        self.head = head
+        if self.http.they_are_waiting_for_100_continue:
+            self.put(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
+
+    def whole(self):
+        """A whole request is in."""
+        head, body, self.head, self.body = self.head, self.body, None, bytearray()
+        self.partial, self.ahead = False, 0
+        path, _, query = head.target.decode("latin-1").partition("?")
+        if path == "/api" and head.method == b"POST":
+            self.front.ask(self, query, head.headers, bytes(body))
+        elif path in ("/-/ready", "/-/healthy") and head.method in (b"GET", b"HEAD"):
+            ready = path == "/-/healthy" or self.front.ready()
+            self.answer(200 if ready else 503, b"ready" if ready else b"not ready", TEXT)
+        else:
+            raise requests.BadRequest(404 if path != "/api" else 405, "POST /api and GET /-/ready are served")
+
+    # ---- what goes ----
+
+    def answer(self, status, body, kind=JSON, retry_after_us=0, close=False):
+        """The one answer to the request at hand."""
+        close = close or self.front.stopping
+        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+        if retry_after_us:
+            headers.append(("Retry-After", f"{retry_after_us / 1e6:.3f}"))
+        if close:
+            headers.append(("Connection", "close"))
+        data = self.http.send(h11.Response(status_code=status, headers=headers))
+        data += self.http.send(h11.Data(data=body)) + self.http.send(h11.EndOfMessage())
+        self.query, self.since, self.served = None, trio.current_time(), True
+        self.closing = close or self.http.our_state is h11.MUST_CLOSE or self.http.their_state is not h11.DONE
+        if not self.closing:
+            self.http.start_next_cycle()
+        self.put(data)
+        if self.closing and not self.rest:
+            self.front.close(self)
+
+    def fail(self, status, text):
+        """An error for what cannot be read, and the end of the connection: what follows on it means nothing."""
+        if self.dead or self.closing:
+            return
+        self.front.counts["bad"] += 1
+        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            self.answer(status, requests.encode({"error": text[:200]}), close=True)
+        else:
+            self.front.close(self)
+
+    def put(self, data):
+        if self.rest:
+            self.rest += data
+            return
+        try:
+            n = self.front.network.send_now(self.stream, data)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.front.close(self)
+            return
+        if n < len(data):
+            self.rest += data[n:]
+            self.front.nursery.start_soon(self.send_rest)
+
+    async def send_rest(self):
+        try:
+            while self.rest and not self.dead:
+                await self.stream.wait_send_all_might_not_block()
+                if not self.dead:
+                    del self.rest[:self.front.network.send_now(self.stream, bytes(self.rest))]
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.front.close(self)
+        if self.dead:
+            return
+        if self.closing:
+            self.front.close(self)
+        else:
+            self.front.advance(self)
+
+
+class Front:
+    """All client connections of a root."""
+
+    def __init__(self, core, config, network, log, share, ready):
+        self.core, self.config, self.network, self.log, self.share, self.ready = core, config, network, log, share, ready
+        self.clients, self.names, self.stopping = set(), set(), False
+        self.counts = {"connections": 0, "requests": 0, "bad": 0, "shed": 0, "slow": 0}
+
+    async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
+        """Serves until cancelled."""
+        async with trio.open_nursery() as self.nursery:
+            self.accepting = trio.CancelScope()
+            self.nursery.start_soon(self.sweep)
+            task_status.started()
+            with self.accepting:
+                async with trio.open_nursery() as accepts:
+                    for listener in listeners:
+                        accepts.start_soon(self.accept, listener)
+            await trio.sleep_forever()
+
+    async def accept(self, listener):
+        while True:
+            try:
+                stream = await listener.accept()
+            except trio.ClosedResourceError:
+                return
+            except OSError as error:
+                self.log.error("a connection cannot be taken", error=str(error))
+                await trio.sleep(0.05)               # no descriptors left: it must not spin
+                continue
+            client = Client(self, stream)
+            self.clients.add(client)
+            self.counts["connections"] += 1
+            self.shed()
+            if not client.dead:
+                self.network.prepare(stream)
+                self.nursery.start_soon(self.read, client)
+
+    def shed(self):
+        """Past the share of clients, the longest idle goes; where all are busy, the newest."""
+        if len(self.clients) > self.share.clients:
+            idle = [(client.since, client) for client in self.clients if client.idle]
+            for client in shares.spare(idle, len(self.clients), self.share.clients):
+                self.counts["shed"] += 1
+                self.close(client)
+
+    async def read(self, client):
+        """The task of a connection."""
+        try:
+            while not client.dead:
+                if client.ahead > AHEAD:             # bounded: a client that sends on is not heard until answered
+                    await trio.sleep(0.01)
+                    client.ahead = AHEAD + 1 if client.query is not None else 0
+                    continue
+                data, at = await self.network.receive(client.stream, READ)
+                if not client.dead:
+                    self.feed(client, data, at)
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except Exception as error:
+            # A defect of the root's must cost this connection, not every client of this root.
+            self.log.error("unexpected error", error=repr(error))
+        self.close(client)
+
+    def feed(self, client, data, at):
+        try:
+            client.feed(data, at)
+        except requests.BadRequest as error:
+            client.fail(error.status, str(error))
+
+    def advance(self, client):
+        try:
+            client.advance()
+        except requests.BadRequest as error:
+            client.fail(error.status, str(error))
+        except h11.RemoteProtocolError as error:
+            client.fail(error.error_status_hint, str(error))
+
+    def close(self, client):
+        if client.dead:
+            return
+        client.dead = True
+        self.clients.discard(client)
+        shut(client.stream)
+        if client.query is not None:
+            query, client.query = client.query, None
+            self.names.discard(client.name)
+            self.core.gone(query)
+
+    # ---- requests ----
+
+    def ask(self, client, query, headers, body):
+        """Hands a request to the core."""
+        name, request = requests.read(query, headers, body, int(client.at * 1e6), self.core.settings, self.config.shards)
+        if name in self.names:
+            raise requests.BadRequest(409, "X-Request-ID: that request is open")
+        self.counts["requests"] += 1
+
+        def finished(outcome):
+            self.names.discard(name)
+            found, client.query = client.query, None
+            self.finish(client, found, outcome)
+
+        try:
+            client.query = self.core.begin(request, finished)
+        except Full as full:
+            client.answer(503, requests.encode({"error": str(full)}), retry_after_us=full.args[1])
+            return
+        client.name = name
+        self.names.add(name)
+
+    def finish(self, client, query, outcome):
+        """Sends the final answer of a client's open query, then reads on."""
+        if outcome.final is Final.ANSWERED:
+            client.answer(200, requests.answered(query, outcome))
+        elif outcome.final is Final.REFUSED:
+            client.answer(503, b'{"error":"refused; asking again is harmless"}', retry_after_us=outcome.retry_after_us)
+        else:
+            client.answer(504, b'{"error":"given up; it may have run"}')
+        if not client.dead:
+            self.advance(client)
+
+    # ---- the watch over times ----
+
+    async def sweep(self):
+        while True:
+            await trio.sleep(SWEEP_S)
+            now = trio.current_time()
+            for client in list(self.clients):
+                due = client.due(self.share)
+                if due is not None and due <= now:
+                    self.counts["slow"] += not client.served
+                    if client.partial:
+                        client.fail(408, "the request did not come whole in time")
+                    else:
+                        self.close(client)
+
+    def stop(self):
+        """No new connections, and none that is idle; what was taken is answered, each with its close."""
+        self.stopping = True
+        self.accepting.cancel()
+        for client in list(self.clients):
+            if client.idle and client.served:
+                self.close(client)
