--- a/mothnotch/node/__main__.py
+++ b/mothnotch/node/__main__.py
@@ -43,13 +43,13 @@
     except ConfigError as error:
         print(f"mothnotch: {error}", file=sys.stderr)
         return 2
+    status = 0
     try:
         trio.run(serve, config, path, log)
     except* OSError as group:
-        for error in group.exceptions:
-            print(f"mothnotch: {error}", file=sys.stderr)
-        return 1
-    return 0
+        print(f"mothnotch: {group.exceptions}", file=sys.stderr)
+        status = 1
+    return status
 
 
 if __name__ == "__main__":
