Leaves gone for long are forgotten; a value that holds another frame is spoilt

Change: the module remembers the 64 servers gone last; a zero byte in a value makes the answer spoilt; tenants where the settings name none are dropped at the door. A test counts objects over four quarters of new leaves, clients, keys and ids.

--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -36,6 +36,7 @@
 ASK_US = (500_000, 8_000_000)      # first and longest wait before discovery is asked again
 IDLE_US = 1_000_000      # a connection unused for so long may be gone unseen
 DEATHS, KEYS, DISTRUST_US = 2, 256, 10_000_000   # servers lost under a key to distrust it; memory of keys
+GONE = 64                # servers gone that are remembered
 NEAR = 1e-4              # weights may fall short by rounding
 
 
@@ -255,6 +256,10 @@
             listed = {entry.server for entry in event.entries}
             for server in self.servers.values():
                 server.up = server.up and server.id in listed
+        # Names may be ever new: of those that are gone the latest are remembered, as they may come back.
+        gone = [server for server in self.servers.values() if not server.up and not server.out]
+        for server in gone[:-GONE]:
+            del self.servers[server.id]
         self.cells = state.grouped((server.cell, server) for server in self.servers.values() if server.up)
 
     def holding(self, part):
--- a/mothnotch/node/frames.py
+++ b/mothnotch/node/frames.py
@@ -73,6 +73,9 @@
         text = value.decode()
     except UnicodeDecodeError:
         raise FrameError("an answer whose value is no text") from None
+    if "\x00" in text:
+        # A length that is too large takes in the frame behind it, whose own length holds a zero byte.
+        raise FrameError("an answer whose value holds another frame")
     return words[0].decode(), end, report(words[3]), text
 
 
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -86,8 +86,8 @@
     kind = settings.classes.get(h.get("x-priority-class", ""))
     if kind is None:
         raise BadRequest(400, "X-Priority-Class: no such class")
-    tenant = h.get("x-tenant-id") or None
-    if tenant is not None and settings.tenants and tenant not in settings.tenants:
+    tenant = h.get("x-tenant-id") or None if settings.tenants else None
+    if tenant is not None and tenant not in settings.tenants:
         raise BadRequest(400, "X-Tenant-Id: no such tenant")
     timeout = h.get("x-timeout-ms", "")
     if not MS.fullmatch(timeout) or not 0 < int(timeout) * 1000 <= 10 * max(
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -436,3 +436,17 @@
         assert seen() is None
     finally:
         gc.enable()
+
+
+def test_servers_that_are_gone_for_long_are_forgotten():
+    root = Root()
+    for n in range(500):
+        root.news(i.News.CHANGES, entry(f"new{n}"), entry(f"new{n - 1}", state="removed"))
+    assert len(root.balancer.servers) < 80 and root.balancer.servers["new499"].up
+    query, _ = root.ask()
+    server = root.out[f"{query}.0", 0]
+    root.news(i.News.CHANGES, entry(server, state="removed"))
+    for n in range(500, 700):
+        root.news(i.News.CHANGES, entry(f"new{n}"), entry(f"new{n - 1}", state="removed"))
+    root.end(f"{query}.0")                               # out there all the while: its end still counts
+    assert i.Answer(query, True) in root.said
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 Each case is judged from what went over the streams; a day ends with the auditor of the six rules.
 """
 import dataclasses
+import gc
 import json
 
 import pytest
@@ -519,6 +520,43 @@
     play(test)
 
 
+def test_memory_stays_flat_over_a_day_of_new_leaves_clients_keys_and_ids():
+    """Counted by quarters: what is kept by a name that is ever new would grow from one to the next."""
+    counts = []
+
+    async def test(day):
+        names = iter(range(10_000))
+
+        async def quarter(number):
+            for turn in range(12):
+                leaf = platform.Leaf(day.world, day.network, f"new{next(names)}", turn % 4, 4, 2)
+                await day.nursery.start(leaf.run)
+                day.discovery.say(False, day.target(leaf))
+                for _ in range(8):
+                    n = next(names)
+                    client = await day.client()
+                    assert (await client.ask(f"r{n}", "read", (0, 1, 2, 3), f"t{n}"))[0] == 200
+                    if n % 3:
+                        client.stream.close()            # the others keep their connection for good
+                day.discovery.say(False, day.target(leaf, "Gone"))
+                leaf.drop()
+            await trio.sleep(12)
+            day.world.record.asks.clear()
+            day.world.record.seen.clear()
+            gc.collect()
+            root, b = day.root, day.root.core.balancer
+            assert not (root.core.queries or root.core.parts or root.core.ends or root.front.names or root.front.clients)
+            assert len(root.calls.leaves) == 4 and not b.queries and not b.numbers and not b.attempts
+            counts.append(sum(type(x).__module__.startswith("mothnotch") and "standins" not in type(x).__module__
+                              and "MemoryStream" not in type(x).__name__ for x in gc.get_objects()))
+
+        for number in range(4):
+            await quarter(number)
+
+    play(test)
+    assert counts[3] <= 1.1 * counts[1] + 100
+
+
 # ---- the auditor sees these streams ----
 
 def test_the_auditor_catches_planted_breaches():
