--- a/mothnotch/standins/platform.py
+++ b/mothnotch/standins/platform.py
@@ -38,15 +38,15 @@
     """One leaf. `mood(rid, shard)` says how a part is answered: "good", "bad", "later", "silent", one of SPOILT or
     of EXTRA; `work_s` is the time a part takes."""
 
-    def __init__(self, world, network, name, cell, cells, reach, work_s=0.05):
+    def __init__(self, world, network, name, cell, cells, reach, work_s=0.05, listen="leaf:0"):
         self.world, self.network, self.name, self.cell = world, network, name, cell
-        self.cells, self.reach, self.work_s = cells, reach, work_s
+        self.cells, self.reach, self.work_s, self.listen = cells, reach, work_s, listen
         self.mood, self.streams, self.connections, self.given_up = lambda rid, shard: "good", set(), 0, []
         self.address = self.nursery = None
         self.deadlines = []                          # the milliseconds each part was told
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        listeners = await self.network.listen("leaf:0")
+        listeners = await self.network.listen(self.listen)
         self.address = self.network.name(listeners[0])
         async with trio.open_nursery() as self.nursery:
             task_status.started(self)
@@ -134,12 +134,13 @@
 class Discovery:
     """An agent that serves the list; `tell` gives changes to all watches, `silent` keeps quiet as while it is down."""
 
-    def __init__(self, network, targets):
+    def __init__(self, network, targets, listen="discovery:0"):
         self.network, self.targets, self.rev, self.silent = network, {t["uid"]: t for t in targets}, 40, False
         self.lines, self.changed, self.asked, self.streams, self.address = [], trio.Event(), [], set(), None
+        self.listen = listen
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        listeners = await self.network.listen("discovery:0")
+        listeners = await self.network.listen(self.listen)
         self.address = self.network.name(listeners[0])
         async with trio.open_nursery() as nursery:
             task_status.started(self)
