First tries of impatient clients are taken for first ones wherever retries are marked

Logged: each an unmarked try of 80 to 200 ms where the class allows 840, of lengths that vary. Ruled out: stalls (no turn or pass over 10 ms), load (p50 26 ms), retries (tries a request 1.02). Lines at fault: on_query in balance.py took a try shorter than usual for the rest of an older one.

Change: where clients mark retries, an unmarked try of a tenant within its share is a first one. The rule on alike tries goes.

--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -31,7 +31,6 @@
 COLD_LOAD = 1.5          # a cold server gets at most this multiple of its guessed present capacity
 BURST_S = 2              # a tenant's share may come in bursts of so many seconds
 CUT, KEEP_LATE = 0.95, 0.2  # share of the usual length under which a try was cut; late worth that pays
-ALIKE = 3                # tries in a row that are as long as the one before state a tenant's usual length
 HOLD_US, PAUSE_US = 40_000, 300_000   # wait of a part that no holder has room for; and of a refused client
 ASK_US = (500_000, 8_000_000)      # first and longest wait before discovery is asked again
 IDLE_US = 1_000_000      # a connection unused for so long may be gone unseen
@@ -277,14 +276,15 @@
         kind = self.s.classes[event.class_name]
         query = self.queries[event.query] = self.numbers[event.number] = state.Query(event, kind)
         self.taken.add(self.now)
-        # A try cut shorter than usual ends with the client's whole time, which tells when it first asked. One
-        # as short as its tenant's all are is not cut: clients of little patience would be refused as late.
+        # A try cut shorter than usual ends with the client's whole time: that tells when it first asked. Not
+        # so a first one of clients with little patience: where retries are marked, and from a tenant within its
+        # share, as clients that ask again and again without saying so are over it.
         left, last = event.drop_dead_us - self.now, event.drop_dead_us - 2 * self.s.tick_us
-        who = kind, event.tenant if event.tenant in self.shares else None
-        usual = self.usual.setdefault(who, state.Steady(left, ALIKE))
-        if not event.repeated:
-            usual.take(left, query.key, 1 - CUT)
-        first = self.now if left > CUT * usual.value else event.drop_dead_us - kind.deadline_us
+        usual = self.usual.get(kind.name, left)
+        self.usual[kind.name] = usual * (DRIFT if left > usual else 1 / DRIFT)
+        within = event.tenant not in self.shares or self.shares[event.tenant].holds(self.now)
+        first = (self.now if left > CUT * usual or self.s.marks_retry and not event.repeated and within
+                 else event.drop_dead_us - kind.deadline_us)
         query.aim = min(last, int(first + kind.aim_of(event.cost_us or 0) - 3 * self.s.tick_us))
         query.end = last if kind.late_worth > KEEP_LATE else query.aim
         self.due.put(query.aim, self.settle, query)
--- a/mothnotch/decisions/interface.py
+++ b/mothnotch/decisions/interface.py
@@ -127,6 +127,7 @@
     limits: Limits
     rules: Rules
     prices: dict[str, float]
+    marks_retry: bool = False      # clients say so when they ask again
 
 
 # ---- events ----
--- a/mothnotch/decisions/settings.py
+++ b/mothnotch/decisions/settings.py
@@ -36,4 +36,5 @@
         rules=i.Rules(rules.get("answerSlackUs", 0), rules.get("coldFrom", 1.0), rules.get("rampTimeUs", 0),
                       rules.get("fallMultiple", 1.0), rules.get("fallUs", 0), rules.get("repeatRatio"),
                       rules.get("spareAttempts", 0), rules.get("lookBackUs")),
-        prices=options.get("prices", {}))
+        prices=options.get("prices", {}),
+        marks_retry=bool((options.get("clients") or {}).get("marksRetry")))
--- a/mothnotch/decisions/state.py
+++ b/mothnotch/decisions/state.py
@@ -174,20 +174,6 @@
         return self.sum if self.items else 0.0
 
 
-class Steady:
-    """What a value mostly is: it changes once so many in a row, of different keys, are alike."""
-
-    def __init__(self, value, needed):
-        self.value, self.last, self.key, self.needed, self.alike = value, math.inf, None, needed, 0
-
-    def take(self, value, key, share):
-        """`share`: by how much of itself the last one may differ to be alike."""
-        alike = key != self.key and abs(value - self.last) < share * value
-        self.alike, self.last, self.key = (self.alike + 1 if alike else 0), value, key
-        if self.alike >= self.needed:
-            self.value = value
-
-
 class Bucket:
     """A token bucket, full at first."""
 
@@ -197,10 +183,13 @@
     def add(self, tokens):
         self.tokens = min(self.size, self.tokens + tokens)
 
-    def take(self, now, cost=1, reserve=0):
+    def holds(self, now, cost=1):
         self.add((now - (self.at or now)) * self.rate / 1e6)
         self.at = now
-        taken = self.tokens >= cost + reserve
+        return self.tokens >= cost
+
+    def take(self, now, cost=1, reserve=0):
+        taken = self.holds(now, cost + reserve)
         self.tokens -= cost * taken
         return taken
 
