--- a/benchmarks/node_cpu.py
+++ b/benchmarks/node_cpu.py
@@ -80,7 +80,8 @@
                        "known": {"rev": 1, "all": True, "targets": targets}, "limits": {"sockets": 1024, "memory_mb": 192},
                        "settings": options(limits={"openCap": 400})})
     for owner, method, name in ((Balancer, "handle", "module"), (front.Client, "feed", "HTTP"),
-                                (front.Client, "answer", "HTTP"), (calls.Calls, "write", "frames"), (calls.Calls, "take", "frames"),
+                                (front.Client, "answer", "HTTP"),
+                                (calls.Calls, "write", "frames"), (calls.Calls, "take", "frames"),
                                 (root.Core, "turn", "core")):
         counted(owner, method, name)
     told, found = [], {}
