--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -276,9 +276,9 @@
         kind = self.s.classes[event.class_name]
         query = self.queries[event.query] = self.numbers[event.number] = state.Query(event, kind)
         self.taken.add(self.now)
-        # A try cut shorter than usual ends with the client's whole time: that tells when it first asked. Not so
-        # a first one, of clients with little patience: where retries are marked, and from a tenant within its
-        # share, as clients that ask again and again without saying so are over it.
+        # A try cut shorter than usual ends with the client's whole time: that tells when it first asked.
+        # Not so a first one, of clients with little patience: where retries are marked, and from a tenant
+        # within its share, as clients that ask again and again without saying so are over it.
         left, last = event.drop_dead_us - self.now, event.drop_dead_us - 2 * self.s.tick_us
         usual = self.usual.get(kind.name, left)
         self.usual[kind.name] = usual * (DRIFT if left > usual else 1 / DRIFT)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -545,7 +545,7 @@
             root, b = day.root, day.root.core.balancer
             assert not (root.core.queries or root.core.parts or root.core.ends or root.front.names or root.front.clients)
             assert len(root.calls.leaves) == 4 and not b.queries and not b.numbers and not b.attempts
-            counts.append(sum(type(x).__module__.startswith("mothnotch") and "standins" not in type(x).__module__
+            counts.append(sum(str(type(x).__module__).startswith("mothnotch") and "standins" not in type(x).__module__
                               and "MemoryStream" not in type(x).__name__ for x in gc.get_objects()))
 
         for number in range(4):
