Connections of all kinds send by one piece of code; accept, errors and list are read once

Need: a review of the platform root found the same thing written again, or state that follows from other state.

Change, behaviour as before: - outgoing.py: what the PostgreSQL pool, the platform's calls and its front each had for sending in the turn and the rest by a task; the kinds differ by hooks.

--- a/mothnotch/decisions/polling.py
+++ b/mothnotch/decisions/polling.py
@@ -11,6 +11,9 @@
 PATIENCE = 2                     # ... doubled with every round of failures, so often at most
 BURST, RATE = 20.0, 10.0         # answers taken at once; a second, past which the next query waits
 RETRY_AFTER_MOST_S = 30.0
+BEAT_S, BEATS = 2.0, 3.25        # a watch says something every BEAT_S; silent for so many, it is made anew
+ANEW_S = 0.1, 2.0                # before a watch that broke is made anew: at first, and at most
+WATCH_CONNECT_S = 1.0            # a watch has to be connected by then
 STUCK_S = 0.5                    # an agent that answers at once without anything new is asked again then
 
 
@@ -70,6 +73,22 @@
         return self.failures > 0 and self.failures % self.agents == 0
 
 
+class Renewal:
+    """When a watch that stays open counts as silent, and when one that broke is made anew: ever later, spread."""
+
+    silent_s, connect_s = BEAT_S * BEATS, WATCH_CONNECT_S
+
+    def __init__(self, random):
+        self.random, self.next_s = random, ANEW_S[0]
+
+    def heard(self):
+        self.next_s = ANEW_S[0]
+
+    def pause(self):
+        pause, self.next_s = self.next_s * (0.5 + self.random() / 2), min(ANEW_S[1], 2 * self.next_s)
+        return pause
+
+
 @dataclass(slots=True, frozen=True)
 class Step:
     """One step of the root's own registration: "register", "beat" or "deregister", after a delay."""
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -8,6 +8,7 @@
 from mothnotch.decisions import interface as i
 from mothnotch.decisions import outcomes, transactions
 from mothnotch.leaves.payload import Rows, affected
+from mothnotch.outgoing import Outgoing
 from mothnotch.pgwire import auth, client
 from mothnotch.pgwire.backend import ErrorFields
 
@@ -27,14 +28,25 @@
         self.fields = fields
 
 
-class Connection:
+class Connection(Outgoing):
     """An open, authenticated connection. `pid` and `secret` are for cancelling what runs on it."""
 
-    def __init__(self, stream, message_limit, leaf, address):
-        self.leaf, self.address, self.call, self.dead, self.rest = leaf, address, None, False, bytearray()
-        self.stream, self.wire = stream, client.ClientConnection(message_limit)
+    def __init__(self, pool, stream, leaf, address):
+        super().__init__(pool.network, pool.nursery, stream)
+        self.pool, self.leaf, self.address, self.call = pool, leaf, address, None
+        self.wire = client.ClientConnection(pool.settings.message_limit)
         self.pid = self.secret = None
         self.idle_since = 0.0
+        self.unsent = False                # no byte of its call's first words has left
+
+    def took(self, n):
+        self.unsent = self.unsent and not n
+
+    def withdrawn(self):
+        return self.unsent and not self.leaf.takes_new and self.call is not None and self.pool.withdraw(self)
+
+    def lost(self):
+        self.pool.lost(self)
 
     async def receive(self):
         """The next event; EOFError when the leaf closed the connection."""
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -18,6 +18,7 @@
 from mothnotch.leaves.payload import Write
 from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
+from mothnotch.outgoing import GONE
 from mothnotch.pgwire import client
 from mothnotch.pgwire.framing import ProtocolError
 
@@ -177,41 +178,16 @@
         went = int(trio.current_time() * 1e6)
         for attempt in call.exchange.attempts:
             attempt.went_us = went
-        self.push(connection, call.exchange.begin(), first=True)
+        connection.unsent = True
+        connection.send(call.exchange.begin())
 
-    def push(self, connection, data, first=False):
-        """Sends what the socket takes at once; a task of its own sends the rest, if any. `first`: nothing of the
-        call has gone out before."""
-        if connection.rest:
-            connection.rest += data
-            return
-        try:
-            n = self.network.send_now(connection.stream, data)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.lost(connection)
-            return
-        if n < len(data):
-            connection.rest += data[n:]
-            self.nursery.start_soon(self.send_rest, connection, first and not n)
-
-    async def send_rest(self, connection, unsent):
-        try:
-            while connection.rest and not connection.dead:
-                await connection.stream.wait_send_all_might_not_block()
-                if connection.dead:
-                    return
-                if unsent and not connection.leaf.takes_new and connection.call is not None:
-                    # Told while no byte had left: what was decided before the news is withdrawn.
-                    call, connection.call = connection.call, None
-                    connection.rest.clear()
-                    call.exchange.lost(i.Result.UNSENT)
-                    self.release(connection)
-                    return
-                n = self.network.send_now(connection.stream, bytes(connection.rest))
-                del connection.rest[:n]
-                unsent = unsent and not n
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.lost(connection)
+    def withdraw(self, connection):
+        """Told while no byte had left: what was decided before the news is withdrawn. True, as it is dealt with."""
+        call, connection.call = connection.call, None
+        connection.rest.clear()
+        call.exchange.lost(i.Result.UNSENT)
+        self.release(connection)
+        return True
 
     def release(self, connection):
         """A call is through: the connection may be used again, where its leaf is still there."""
@@ -236,7 +212,7 @@
                 self.take(connection)
                 if connection.dead:
                     return
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except GONE:
             pass
         except (ProtocolError, ValueError, LookupError) as error:
             self.log.warning("leaf broke the protocol", leaf=connection.leaf.name, error=str(error))
@@ -256,7 +232,7 @@
             if call.exchange.over:
                 self.release(connection)
         if out:
-            self.push(connection, out)
+            connection.send(out)
 
     # ---- ends ----
 
@@ -312,7 +288,7 @@
         connection, ready, result = None, False, i.Result.UNREACHABLE
         try:
             with trio.move_on_after(s.connect_timeout_s) as call.scope:
-                connection = Connection(await self.network.open(address), s.message_limit, leaf, address)
+                connection = Connection(self, await self.network.open(address), leaf, address)
                 await connection.open({"user": s.user, "database": s.database, "application_name": "mothnotch"},
                                       s.password)
                 ready = True
@@ -351,7 +327,7 @@
                 stream = await self.network.open(connection.address)
                 await stream.send_all(client.cancel_request(connection.pid, connection.secret))
                 await stream.receive_some(1)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except GONE:
             pass
         finally:
             leaf.cancels -= 1
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -268,9 +268,10 @@
         return stream.closed or stream.ended or stream.peer.closed or bool(stream.buffer)
 
 
-async def serve(listeners, handler, nursery, most=None, turned_away=None):
+async def serve(listeners, handler, nursery, most=None, turned_away=None, failed=None):
     """Accepts until cancelled, one task of the nursery a connection. Past `most` at once, `turned_away(stream)`
-    is run instead of the handler. A failed accept (no descriptors left) waits a little: it must not spin."""
+    is run instead of the handler. A failed accept (no descriptors left) is told by `failed(error)` and waits a little:
+    it must not spin."""
     state = {"open": 0}
 
     async def one(stream):
@@ -286,7 +287,9 @@
                 stream = await listener.accept()
             except trio.ClosedResourceError:
                 return
-            except OSError:
+            except OSError as error:
+                if failed is not None:
+                    failed(error)
                 await trio.sleep(0.05)
                 continue
             if most is not None and state["open"] >= most:
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -14,6 +14,7 @@
 from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
 from mothnotch.node import frames
+from mothnotch.outgoing import GONE, Outgoing
 
 READ = 1 << 15                   # bytes read at once
 SPENT = 1024                     # ids given up and not answered yet that a connection may have
@@ -26,25 +27,48 @@
         self.name, self.address, self.takes_new, self.links = name, address, True, []
 
 
-class Link:
+class Link(Outgoing):
     """One connection to a leaf, under way or made."""
 
-    __slots__ = ("leaf", "address", "stream", "reader", "out", "spent", "waiting", "rest", "given", "queued", "ends",
-                 "probes", "idle_since", "dead", "no_more", "heard_us")
+    __slots__ = ("calls", "leaf", "address", "reader", "out", "spent", "waiting", "given", "ends", "probes", "idle_since",
+                 "no_more", "heard_us")
 
-    def __init__(self, leaf):
-        self.leaf, self.address, self.stream, self.reader = leaf, leaf.address, None, frames.Reader()
+    def __init__(self, calls, leaf):
+        super().__init__(calls.network, calls.nursery, None)
+        self.calls, self.leaf, self.address, self.reader = calls, leaf, leaf.address, frames.Reader()
         self.out, self.spent = {}, {}        # wire id -> attempt; ids given up whose answer may still come
         self.waiting = []                    # attempts for whom the connection is being made
-        self.rest, self.given, self.queued = bytearray(), 0, 0     # unsent bytes; bytes the socket took; all bytes
-        self.ends = deque()                  # (offset of the frame's end, attempts) not taken by the socket yet
+        self.given, self.ends = 0, deque()   # bytes the socket took; (offset of a frame's end, attempts) still to come
         self.probes = deque()                # (sent_us, post) of the probes out
-        self.idle_since, self.dead, self.no_more, self.heard_us = trio.current_time(), False, False, 0
+        self.idle_since, self.no_more, self.heard_us = trio.current_time(), False, 0
 
     @property
     def load(self):
         return len(self.out) + len(self.waiting)
 
+    def call(self, attempts, data):
+        """Sends the frame of a call."""
+        self.ends.append((self.given + len(self.rest) + len(data), attempts))
+        self.send(data)
+
+    def took(self, n):
+        """Frames that are out whole may run from now on."""
+        self.given += n
+        while self.ends and self.ends[0][0] <= self.given:
+            went = int(trio.current_time() * 1e6)
+            for attempt in self.ends.popleft()[1]:
+                attempt.went_us, attempt.call.went = went, True
+
+    def withdrawn(self):
+        """Told that the leaf drains while a frame is not out whole: the connection goes, and that frame never ran."""
+        if self.leaf.takes_new or not self.ends:
+            return False
+        self.lost()
+        return True
+
+    def lost(self):
+        self.calls.lost(self)
+
 
 class Ticket:
     """What an attempt knows of the connection it is on."""
@@ -139,7 +163,7 @@
                 for attempt in attempts:
                     attempt.end(i.Result.UNSENT)
                 return
-            link = Link(leaf)
+            link = Link(self, leaf)
             leaf.links.append(link)
             self.open += 1
             self.nursery.start_soon(self.connect, link)
@@ -162,52 +186,8 @@
             link.out[attempt.call.wire_id] = attempt
             ms = max(1, int((attempt.deadline - now) * 1000))
             parts.append((attempt.call.wire_id, attempt.part.spec.shard, ms, attempt.payload.key, attempt.payload.text))
-        data = frames.call(parts)
         self.counts["frames"] += 1
-        link.queued += len(data)
-        link.ends.append((link.queued, attempts))
-        self.push(link, data)
-
-    def push(self, link, data):
-        if link.rest:
-            link.rest += data
-            return
-        try:
-            n = self.network.send_now(link.stream, data)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.lost(link)
-            return
-        self.taken(link, n)
-        if n < len(data):
-            link.rest += data[n:]
-            self.nursery.start_soon(self.send_rest, link)
-
-    def taken(self, link, n):
-        """The socket took n bytes more: frames that are out whole may run from now on."""
-        link.given += n
-        while link.ends and link.ends[0][0] <= link.given:
-            went = int(trio.current_time() * 1e6)
-            for attempt in link.ends.popleft()[1]:
-                attempt.went_us, attempt.call.went = went, True
-
-    async def send_rest(self, link):
-        try:
-            while link.rest and not link.dead:
-                await link.stream.wait_send_all_might_not_block()
-                if link.dead:
-                    return
-                if not link.leaf.takes_new and len(link.rest) == link.queued - link.given and link.ends:
-                    self.withdraw(link)
-                n = self.network.send_now(link.stream, bytes(link.rest)) if link.rest else 0
-                del link.rest[:n]
-                self.taken(link, n)
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            self.lost(link)
-
-    def withdraw(self, link):
-        """Told that the leaf drains while frames wait that the socket has not begun to take: the connection goes, as
-        what is behind cannot be told apart any more; those attempts never ran."""
-        self.lost(link)
+        link.call(attempts, frames.call(parts))
 
     # ---- answers ----
 
@@ -229,7 +209,7 @@
         except frames.FrameError as error:
             self.counts["spoilt"] += 1
             self.log.warning("leaf broke the protocol", leaf=link.leaf.name, error=str(error))
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        except GONE:
             pass
         self.lost(link)
 
@@ -285,15 +265,11 @@
             # The word cannot leave at once, and the next attempt would overtake it: only a close is as quick.
             self.lost(link)
             return
-        data = frames.give_up(wire_id)
-        link.queued += len(data)
-        self.push(link, data)
+        link.send(frames.give_up(wire_id))
         self.rested(link)
 
     def timed_out(self, attempt, now):
         ticket = attempt.call
-        if ticket is None:
-            return
         attempt.end(i.Result.TIMEOUT if ticket.went else i.Result.UNREACHABLE)
         self.give_up(ticket, attempt)
 
@@ -326,9 +302,7 @@
             post(i.ProbeEnded(name, i.Result.UNSENT, 0, None))
             return
         link.probes.append((int(trio.current_time() * 1e6), post))
-        data = frames.frame(b"p")
-        link.queued += len(data)
-        self.push(link, data)
+        link.send(frames.frame(b"p"))
 
     # ---- connections ----
 
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -3,16 +3,15 @@
 import msgspec
 import trio
 
+from mothnotch.decisions import roster
 from mothnotch.decisions.interface import ListNews, News
+from mothnotch.decisions.polling import Renewal
 from mothnotch.net import shut
 from mothnotch.node import listing
 from mothnotch.root.core import now_us
 
 LINE = 8 << 20                   # the longest line taken
 READ = 1 << 16
-SILENT_S = 6.5                   # a watch says something every 2 s; after three times nothing it is made anew
-PAUSE_S = (0.1, 2.0)             # before a watch is made anew: at first, and at most
-CONNECT_S = 1.0
 
 
 class Watch:
@@ -20,7 +19,7 @@
 
     def __init__(self, network, address, core, calls, log, chance):
         self.network, self.address, self.core, self.calls, self.log = network, address, core, calls, log
-        self.chance, self.rev, self.listed, self.scope, self.pause = chance, 0, False, None, PAUSE_S[0]
+        self.rev, self.listed, self.scope, self.renewal = 0, False, None, Renewal(chance)
 
     def start(self, known):
         """The list as last held."""
@@ -31,14 +30,15 @@
         if kind is None and not found.all and found.rev <= self.rev:
             return                                   # repeated, or from before what is held
         self.rev, self.listed = found.rev, True
-        whole = kind is not None or found.all
-        told = listing.news(found, kind, now_us(), self.network.wall())
-        self.calls.follow(listing.leaves(found), whole)
-        self.core.news(told)
+        kind = kind or (News.FULL if found.all else News.CHANGES)
+        leaves = listing.leaves(found)
+        self.calls.follow(leaves, kind is not News.CHANGES)
+        self.core.news(roster.news(leaves, found.rev, now_us(), self.network.wall(), kind))
 
     def moved(self, address):
         if address != self.address:
-            self.address, self.pause = address, PAUSE_S[0]
+            self.address = address
+            self.renewal.heard()
             if self.scope is not None:
                 self.scope.cancel()
 
@@ -53,11 +53,10 @@
                 self.log.warning("the watch broke", address=self.address, error=f"{type(error).__name__}: {error}")
                 self.core.news(ListNews(News.FAILED, self.rev, ()))
             if not self.scope.cancelled_caught:
-                await trio.sleep(self.pause * (0.5 + self.chance() / 2))
-                self.pause = min(PAUSE_S[1], 2 * self.pause)
+                await trio.sleep(self.renewal.pause())
 
     async def follow(self):
-        with trio.fail_after(CONNECT_S):
+        with trio.fail_after(self.renewal.connect_s):
             stream = await self.network.open(self.address)
         try:
             http = h11.Connection(h11.CLIENT)
@@ -68,7 +67,7 @@
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    with trio.fail_after(SILENT_S):
+                    with trio.fail_after(self.renewal.silent_s):
                         http.receive_data(await stream.receive_some(READ))
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
@@ -80,7 +79,7 @@
                     while (end := held.find(b"\n")) >= 0:
                         line = bytes(held[:end])
                         del held[:end + 1]
-                        self.pause = PAUSE_S[0]
+                        self.renewal.heard()
                         if line.strip():
                             self.tell(listing.decode(line))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
--- a/mothnotch/node/listing.py
+++ b/mothnotch/node/listing.py
@@ -1,8 +1,7 @@
-"""Discovery's list of leaves, as JSON, made into what the module is told."""
+"""Discovery's list of leaves, as JSON, made into the project's words."""
 import msgspec
 
 from mothnotch.decisions import roster
-from mothnotch.decisions.interface import News
 
 STATES = {"Ready": "up", "Terminating": "draining", "Gone": "removed"}
 
@@ -30,8 +29,3 @@
     """The leaves of a list, in the project's words. A state not known takes nothing new."""
     return [roster.Leaf(t.uid, t.endpoint, t.az, t.pod_group, STATES.get(t.state, "draining"), t.capacity_hint,
                         t.boot_ms / 1000 if t.boot_ms > 0 else None) for t in listing.targets]
-
-
-def news(listing, kind, now_us, wall_s):
-    return roster.news(leaves(listing), listing.rev, now_us, wall_s,
-                       kind if kind is not None else News.FULL if listing.all else News.CHANGES)
--- /dev/null
+++ b/mothnotch/outgoing.py
@@ -0,0 +1,62 @@
+"""Bytes on their way out of a stream: sent at once as far as the socket takes them, the rest by a task of its own.
+
+A base for connections of any kind, which say by its hooks what follows. What may wait in `rest` is bounded by whoever
+sends: one answer, or the calls that a connection carries.
+"""
+import trio
+
+GONE = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)     # how a stream says that it is no more
+
+
+class Outgoing:
+    """One direction of a connection. `rest`: bytes that the socket has not taken yet; `dead`: nothing is sent any more."""
+
+    __slots__ = ("network", "nursery", "stream", "rest", "dead")
+
+    def __init__(self, network, nursery, stream):
+        self.network, self.nursery, self.stream, self.rest, self.dead = network, nursery, stream, bytearray(), False
+
+    def send(self, data):
+        """Sends what the socket takes at once; a task sends the rest, if any."""
+        if self.rest:
+            self.rest += data
+            return
+        try:
+            n = self.network.send_now(self.stream, data)
+        except GONE:
+            self.lost()
+            return
+        self.took(n)
+        if n < len(data):
+            self.rest += data[n:]
+            self.nursery.start_soon(self.send_rest)
+
+    async def send_rest(self):
+        try:
+            while self.rest and not self.dead:
+                await self.stream.wait_send_all_might_not_block()
+                if self.dead or self.withdrawn():
+                    return
+                n = self.network.send_now(self.stream, bytes(self.rest))
+                del self.rest[:n]
+                self.took(n)
+        except GONE:
+            self.lost()
+        if not self.dead:
+            self.through()
+
+    # ---- what a kind of connection says ----
+
+    def took(self, n):
+        """The socket took so many bytes more."""
+
+    def withdrawn(self):
+        """Asked before waiting bytes go on: whether they may not any more, and have been dealt with."""
+        return False
+
+    def through(self):
+        """Bytes had to wait, and all of them are out."""
+
+    def lost(self):
+        """The stream is gone."""
+        raise NotImplementedError
