A stall in the midst of a relearning no longer crashes a root; HEAD gets no body

A check that came due while a pass of the last relearning was still due began a second one; whichever ended first left the other nothing, and Predictor.relearn raised TypeError: the root would have crashed. It takes a stall of seconds within the 60 ms of a relearning, as a machine that is paused gives. Reproduced by a test, which fails without the mend. A HEAD was answered by a close, as h11 takes no body for it; it gets its head now, tested too.

--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -234,7 +234,8 @@
             self.relearn()
 
     def relearn(self):
-        if self.predictor.relearn():
+        # After a stall the next check begins one while a pass of the last is due: one finds nothing left.
+        if self.predictor.next and self.predictor.relearn():
             self.later(self.s.tick_us, self.relearn)
 
     def on_list(self, event):
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -26,7 +26,7 @@
     def __init__(self, front, stream):
         super().__init__(front.network, front.nursery, stream)
         self.front, self.http = front, h11.Connection(h11.SERVER)
-        self.query, self.name, self.head, self.body = None, None, None, bytearray()
+        self.query, self.name, self.head, self.body, self.method = None, None, None, bytearray(), None
         self.since = trio.current_time()      # of connecting, of the first byte of a request, of the last answer
         self.at = self.since                  # when the last data came
         self.partial, self.closing, self.ahead, self.served = False, False, 0, False
@@ -80,6 +80,7 @@
 
     def begun(self, head):
         """The head has come: what can be told from it is told before any of the body is kept."""
+        self.method = head.method
         length = chunked = False
         for name, value in head.headers:
             if name == b"content-length":
@@ -119,8 +120,10 @@
         if close:
             headers.append(("Connection", "close"))
         data = self.http.send(h11.Response(status_code=status, headers=headers))
-        data += self.http.send(h11.Data(data=body)) + self.http.send(h11.EndOfMessage())
-        self.query, self.since, self.served = None, trio.current_time(), True
+        if self.method != b"HEAD":                 # to which h11 takes no body
+            data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        self.query, self.method, self.since, self.served = None, None, trio.current_time(), True
         self.closing = close or self.http.our_state is h11.MUST_CLOSE or self.http.their_state is not h11.DONE
         if not self.closing:
             self.http.start_next_cycle()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -452,3 +452,17 @@
         root.news(i.News.CHANGES, entry(f"new{n}"), entry(f"new{n - 1}", state="removed"))
     root.end(f"{query}.0")                               # out there all the while: its end still counts
     assert i.Answer(query, True) in root.said
+
+
+def test_a_stall_in_the_midst_of_a_relearning_ends_nothing():
+    """The next check comes while passes of the last relearning are still due: both go on, and the root lives."""
+    root = Root()
+    samples = [((10, 10, 10, 0, 0, 0, 5, 5, 5, 5), 0), ((300, 300, 300, 9, 9, 9, 1, 1, 1, 5), 1)] * 50
+    root.balancer.predictor.kept.extend(samples)
+    root.balancer.predictor.marks["s1"] = 0, 10
+    root.run(5 * S + 10 * MS)                            # a pass or two are done
+    assert root.balancer.predictor.next
+    root.balancer.predictor.marks["s1"] = 0, 10
+    root.run(6 * S, step=6 * S)                          # a stall
+    root.run(1 * S)
+    assert root.balancer.predictor.unit is not None and root.balancer.predictor.next is None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,6 +128,19 @@
     play(test)
 
 
+@pytest.mark.parametrize("path, status", [("/-/ready", 200), ("/none", 404)])
+def test_a_HEAD_gets_a_head_and_no_body(path, status):
+    async def test(day):
+        client = await day.client()
+        await client.say(f"HEAD {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
+        await trio.sleep(0.1)
+        await client.more()
+        assert client.held.startswith(f"HTTP/1.1 {status} ".encode()) and client.held.endswith(b"\r\n\r\n")
+        assert not [event for event, _ in day.log.lines if event == "unexpected error"]
+
+    play(test)
+
+
 def test_an_id_that_is_open_is_not_taken_again_and_its_query_goes_on():
     async def test(day):
         first, second = await day.client(), await day.client()
