--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -14,6 +14,7 @@
 from mothnotch.fronts.pg import PgFront
 from mothnotch.fronts.session import Service
 from mothnotch.leaves.pool import Leaves
+from mothnotch.merge.holding import Holding
 from mothnotch.net import parse_address
 from mothnotch.root.core import Core
 from mothnotch.root.roster import FileRoster, Watch
@@ -30,8 +31,8 @@
         schema = config.schema()
         self.leaves = Leaves(network, config.pool(), log)
         self.core = Core(config.settings(), config.seed if seed is None else seed, self.leaves, log,
-                         config.root.most_queries, Budget(config.memory.limit_bytes, config.memory.disk_bytes),
-                         config.memory.directory)
+                         config.root.most_queries,
+                         Holding(Budget(config.memory.limit_bytes, config.memory.disk_bytes), config.memory.directory))
         self.core.clock = cpu
         name = f"{config.root.me}-{random(6).hex()}"
         self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -7,9 +7,6 @@
 asked again; `cancels` cancel connections a leaf at once, past which the connection is only closed; the heap holds
 what was sent within the longest time-out.
 """
-import heapq
-import itertools
-import math
 from dataclasses import dataclass
 
 import trio
@@ -19,6 +16,7 @@
 from mothnotch.decisions.membership import Own
 from mothnotch.leaves.connection import Connection, ReadExchange, Unanswered, WriteExchange
 from mothnotch.leaves.payload import Write
+from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
 from mothnotch.pgwire import client
 from mothnotch.pgwire.framing import ProtocolError
@@ -64,7 +62,7 @@
     def live(self):
         return [a for a in self.exchange.attempts if not a.ended]
 
-    def dropped(self):
+    def dropped(self, attempt):
         """An attempt of it was called off: once nobody waits for any, it ends."""
         if not self.live:
             self.pool.abandon(self)
@@ -76,13 +74,13 @@
     def __init__(self, network, settings, log):
         self.network, self.settings, self.log, self.leaves = network, settings, log, {}
         self.counts = {"connects": 0, "connects_failed": 0, "cancels": 0, "calls": 0, "over_most": 0}
-        self.deadlines, self.numbers, self.earlier = [], itertools.count(), trio.Event()
+        self.timeouts = Timeouts(self.timed_out)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Runs until cancelled; every connection's task lives in its nursery."""
         try:
             async with trio.open_nursery() as self.nursery:
-                self.nursery.start_soon(self.time)
+                self.nursery.start_soon(self.timeouts.run)
                 self.nursery.start_soon(self.sweep)
                 task_status.started()
                 await trio.sleep_forever()
@@ -112,6 +110,10 @@
         """What the root's own connections met last, by name."""
         return {name: leaf.own for name, leaf in self.leaves.items()}
 
+    def probe(self, name, post):
+        """Leaves over this wire have no probe; the module is told as much."""
+        post(i.ProbeEnded(name, i.Result.UNSENT, 0, None))
+
     def disconnect(self, name):
         if name in self.leaves:
             self.close_idle(self.leaves[name])
@@ -139,9 +141,7 @@
         leaf, exchange = call.leaf, call.exchange
         self.counts["calls"] += 1
         for attempt in exchange.attempts:
-            if not self.deadlines or attempt.deadline < self.deadlines[0][0]:
-                self.earlier.set()
-            heapq.heappush(self.deadlines, (attempt.deadline, next(self.numbers), attempt))
+            self.timeouts.put(attempt)
         connection = self.take_idle(leaf)
         if connection is not None:
             self.begin(call, connection)
@@ -287,26 +287,16 @@
         else:
             self.nursery.start_soon(self.cancel, call.leaf, connection)
 
-    async def time(self):
-        """Ends attempts as their time passes."""
-        while True:
-            self.earlier = trio.Event()
-            with trio.move_on_at(self.deadlines[0][0] if self.deadlines else math.inf):
-                await self.earlier.wait()
-            now = trio.current_time()
-            while self.deadlines and self.deadlines[0][0] <= now:
-                _, _, attempt = heapq.heappop(self.deadlines)
-                if attempt.ended:
-                    continue
-                call = attempt.call
-                call.leaf.own.failed_us = int(now * 1e6)
-                if call.connection is None:
-                    attempt.end(i.Result.UNREACHABLE)       # nothing has gone out
-                elif call.exchange.alone(attempt):
-                    call.exchange.lost(i.Result.TIMEOUT)
-                else:
-                    attempt.end(i.Result.TIMEOUT)
-                call.dropped()
+    def timed_out(self, attempt, now):
+        call = attempt.call
+        call.leaf.own.failed_us = int(now * 1e6)
+        if call.connection is None:
+            attempt.end(i.Result.UNREACHABLE)       # nothing has gone out
+        elif call.exchange.alone(attempt):
+            call.exchange.lost(i.Result.TIMEOUT)
+        else:
+            attempt.end(i.Result.TIMEOUT)
+        call.dropped(attempt)
 
     # ---- connections ----
 
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -12,10 +12,7 @@
 from mothnotch.decisions import coverage
 from mothnotch.decisions import interface as i
 from mothnotch.decisions.balance import Balancer
-from mothnotch.decisions.memory import RETRY_AFTER_US, Budget
 from mothnotch.decisions.outcomes import Final
-from mothnotch.merge.runs import Room, SpillError
-from mothnotch.merge.spool import Spool
 from mothnotch.root.request import Outcome
 
 
@@ -25,7 +22,7 @@
 
 
 class Attempt:
-    """One send of a part. The leaf's driver collects into `rows` and calls `end` once; a later call does nothing."""
+    """One send of a part. The leaf's driver calls `end` once; a later call does nothing."""
 
     __slots__ = ("part", "n", "server", "limit_us", "sent_us", "went_us", "rows", "ended", "call", "core", "spool")
 
@@ -49,10 +46,10 @@
         if self.ended or query.outcome is not None:
             return
         if self.spool is None:
-            self.spool = Spool(self.core.room(query))
+            self.spool = self.core.holding.spool(self.core.room(query))
         try:
             self.spool.add(row, size)
-        except SpillError as error:
+        except self.core.holding.error as error:
             self.core.log.warning("no room for a query's rows", query=query.id, why=str(error))
             self.core.fault(query, query.request.overflow)
 
@@ -61,13 +58,14 @@
         rows, self.spool = self.spool, None
         return () if rows is None else rows
 
-    def end(self, result, rows=None, report=None):
-        """Tells the module how it ended. With OK, `rows` is the part's answer."""
+    def end(self, result, rows=None, report=None, at_us=None):
+        """Tells the module how it ended. With OK, `rows` is the part's answer. `at_us`: when word of it came, where
+        that is known to have been before now."""
         if self.ended:
             return
         self.ended = True
         # Told from when it went out: what making a connection took says nothing of how quickly the leaf works.
-        took = now_us() - self.went_us
+        took = max(0, (now_us() if at_us is None else at_us) - self.went_us)
         if result is i.Result.OK:
             self.part.rows, self.part.took_us = rows, took
             self.part.server, self.part.answered_us = self.server, now_us()
@@ -106,7 +104,7 @@
     id: str
     number: int
     request: object
-    done: trio.Event
+    finished: object                               # called once with the outcome, in the turn that decided it
     parts: list = field(default_factory=list)
     outcome: Outcome | None = None
     room: object = None                            # what its rows are held in, once one has come
@@ -118,40 +116,40 @@
 
 
 class Core:
-    """The Balancer and its books. `leaves.send(server, attempts)` sends; `log` is a structlog logger.
+    """The Balancer and its books. `leaves.send(server, attempts)` sends; `log` has structlog's methods; `holding`
+    keeps the rows of queries, where a front's answers are rows.
 
-    Bounds: `most_queries` open at once, past which `ask` raises Full (nothing was taken); events that wait are
-    bounded by those and by the attempts out, as each attempt ends once.
+    Bounds: `most_queries` open at once, and `most_open` queries and parts together, past which `begin` raises Full
+    (nothing was taken); events that wait are bounded by those and by the attempts out, as each attempt ends once.
     """
 
-    def __init__(self, settings, seed, leaves, log, most_queries=10_000, budget=None, directory=None):
-        self.settings, self.leaves, self.log, self.most_queries = settings, leaves, log, most_queries
+    def __init__(self, settings, seed, leaves, log, most_queries=10_000, holding=None, most_open=math.inf):
+        self.settings, self.leaves, self.log = settings, leaves, log
+        self.most_queries, self.most_open, self.holding = most_queries, most_open, holding
         self.balancer = Balancer(settings, seed)
-        self.budget, self.directory = budget or Budget(64 << 20, 1 << 30), directory     # of rows held
         self.events, self.woken, self.wakes = [], trio.Event(), []
         self.numbers = itertools.count(1)
         self.queries, self.parts, self.closing = {}, {}, []
+        self.ends = []                             # (the client's time, number, query) of the open queries, a heap
         self.on = {i.Send: self.on_send, i.Cancel: self.on_cancel, i.Answer: self.on_answer,
-                   i.Refuse: self.on_refuse, i.GiveUp: self.on_give_up, i.Wake: self.on_wake,
+                   i.Refuse: self.on_refuse, i.GiveUp: self.on_give_up, i.Wake: self.on_wake, i.Probe: self.on_probe,
                    i.Disconnect: self.on_disconnect, i.Subscribe: self.on_subscribe, i.Log: self.on_log}
         self.subscribe = trio.Event()              # set when the module asks for the list again
         self.counts = {"queries": 0, "answered": 0, "refused": 0, "failed": 0, "gone": 0, "sends": 0, "turns": 0,
-                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0}
+                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0, "full": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
         self.guard = True                          # watches over the client's time; off only to test the auditor
 
     # ---- what fronts call ----
 
-    async def ask(self, request):
-        """The final answer to a request. Cancelling the caller tells the module that the client left."""
-        if len(self.queries) >= self.most_queries:
-            raise Full(f"{self.most_queries} queries are open", 0)
-        if not self.budget.admit(request.worth):
-            self.counts["no_room"] += 1
-            raise Full("rows of other queries fill memory or disk", RETRY_AFTER_US)
+    def begin(self, request, finished):
+        """Takes a request; `finished(outcome)` is called once, from the turn that decides it. Raises Full."""
+        if len(self.queries) >= self.most_queries or len(self.queries) + len(self.parts) >= self.most_open:
+            self.counts["full"] += 1
+            raise Full(f"{len(self.queries)} queries and {len(self.parts)} parts are open", 0)
         number = next(self.numbers)
-        query = Query(f"q{number}", number, request, trio.Event())
+        query = Query(f"q{number}", number, request, finished)
         self.queries[query.id] = query
         self.counts["queries"] += 1
         self.post(i.QueryArrived(query.id, number, request.class_name, request.tenant, request.key,
@@ -161,29 +159,38 @@
             query.parts.append(part)
             self.parts[part.id] = part
             self.post(i.PartArrived(part.id, number, spec.shard, spec.weight, spec.cost_us))
+        if self.guard:
+            heapq.heappush(self.ends, (request.deadline_us, number, query))
+        return query
+
+    def gone(self, query):
+        """The client of an open query has left; nobody is told its outcome."""
+        if query.outcome is None:
+            self.counts["gone"] += 1
+            query.finished = lambda outcome: None
+            self.leave(query, Outcome(Final.FAILED))
+
+    async def ask(self, request):
+        """The final answer to a request. Cancelling the caller tells the module that the client left."""
+        if self.holding is not None and not self.holding.admit(request.worth):
+            self.counts["no_room"] += 1
+            raise Full("rows of other queries fill memory or disk", self.holding.retry_after_us)
+        done = trio.Event()
+        query = self.begin(request, lambda outcome: done.set())
         try:
-            with trio.move_on_at(request.deadline_us / 1e6 if self.guard else math.inf):
-                await query.done.wait()
-            if query.outcome is None:
-                # The module ends every query before the client's time; should it ever not, the client still hears.
-                self.counts["overdue"] += 1
-                self.log.error("no final answer in the client's time", query=query.id, class_name=request.class_name)
-                self.leave(query, Outcome(Final.FAILED))
+            await done.wait()
         except BaseException:
             if query.room is not None:               # answered, and nobody is there any more to read it
                 query.room.close()
             raise
         finally:
-            if query.outcome is None:
-                self.counts["gone"] += 1
-                self.leave(query, Outcome(Final.FAILED))
+            self.gone(query)
         return query.outcome
 
     def room(self, query):
         """The room of a query, made with its first row."""
         if query.room is None:
-            self.budget.open(query.id, query.request.worth)
-            query.room = Room(self.budget, query.id, self.directory)
+            query.room = self.holding.room(query.id, query.request.worth)
         return query.room
 
     def news(self, news):
@@ -216,7 +223,7 @@
                 query.room.close()
         del self.queries[query.id]
         self.closing.append(query)
-        query.done.set()
+        query.finished(outcome)
 
     def sweep(self):
         """Lets go of the parts of queries that the module has closed, but for those with attempts still out."""
@@ -236,11 +243,29 @@
             if not self.events:
                 self.woken = trio.Event()
                 # Two microseconds late rather than early: a wake-up before its time would be lost on the module.
-                with trio.move_on_at((self.wakes[0] + 2) / 1e6 if self.wakes else math.inf):
+                with trio.move_on_at((self.next_time() + 2) / 1e6):
                     await self.woken.wait()
-            # One more pass of the scheduler, so that what became ready together shares a turn.
+            # One more pass of the scheduler, so that what became ready together shares a turn, and what has come
+            # is read before the time is told.
             await trio.lowlevel.checkpoint()
             self.turn()
+            self.watch_ends()
+
+    def next_time(self):
+        """When the loop has to go on, if nothing happens before: microseconds."""
+        while self.ends and self.ends[0][2].outcome is not None:
+            heapq.heappop(self.ends)
+        return min(self.wakes[0] if self.wakes else math.inf, self.ends[0][0] if self.ends else math.inf)
+
+    def watch_ends(self):
+        """The module ends every query before the client's time; should it ever not, the client still hears."""
+        now = now_us()
+        while self.ends and (self.ends[0][0] <= now or self.ends[0][2].outcome is not None):
+            _, _, query = heapq.heappop(self.ends)
+            if query.outcome is None:
+                self.counts["overdue"] += 1
+                self.log.error("no final answer in the client's time", query=query.id, class_name=query.request.class_name)
+                self.leave(query, Outcome(Final.FAILED))
 
     def turn(self):
         now, events = now_us(), self.events
@@ -291,7 +316,7 @@
             return
         attempt.end(i.Result.CANCELLED)
         if attempt.call is not None:
-            attempt.call.dropped()
+            attempt.call.dropped(attempt)
 
     def finish(self, query_id, outcome, count):
         query = self.queries.get(query_id)
@@ -323,6 +348,9 @@
     def on_wake(self, action):
         heapq.heappush(self.wakes, self.now + action.delay_us)
 
+    def on_probe(self, action):
+        self.leaves.probe(action.server, self.post)
+
     def on_disconnect(self, action):
         self.leaves.disconnect(action.server)
 
