--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -31,6 +31,7 @@
 COLD_LOAD = 1.5          # a cold server gets at most this multiple of its guessed present capacity
 BURST_S = 2              # a tenant's share may come in bursts of so many seconds
 CUT, KEEP_LATE = 0.95, 0.2  # share of the usual length under which a try was cut; late worth that pays
+ALIKE = 3                # tries in a row that are as long as the one before state a tenant's usual length
 HOLD_US, PAUSE_US = 40_000, 300_000   # wait of a part that no holder has room for; and of a refused client
 ASK_US = (500_000, 8_000_000)      # first and longest wait before discovery is asked again
 IDLE_US = 1_000_000      # a connection unused for so long may be gone unseen
@@ -42,7 +43,7 @@
     """One logistic unit on min-max scaled inputs: would a part sent there now meet a busy period?"""
 
     def __init__(self, rng):
-        self.rng, self.unit = rng, None                    # no unit before the first relearning: all fast
+        self.rng, self.unit, self.next = rng, None, None   # no unit before the first relearning: all fast
         self.kept, self.marks = deque(maxlen=KEPT), {}     # (inputs, label); server -> [right, labelled]
 
     def learn(self, attempt, label):
@@ -59,9 +60,18 @@
         worst = min((right / n for right, n in self.marks.values() if n >= ENOUGH), default=1.0)
         self.marks = {}
         if worst < ACCURATE:
-            self.unit = state.Logistic(self.kept, BOUNDS, RATE, EPOCHS, self.rng)
+            self.next = [EPOCHS, state.Logistic(self.kept, BOUNDS, RATE)]
         return worst
 
+    def relearn(self):
+        """One pass of a relearning, a turn each: all at once would hold up a root for longer than a part.
+        True while there is more to do; the new unit takes over with its last."""
+        self.next[1].pass_over(self.rng)
+        self.next[0] -= 1
+        if not self.next[0]:
+            self.unit, self.next = self.next[1], None
+        return self.next
+
 
 class Server(state.ServerRecord):
     """What this root makes of what it knows of one server."""
@@ -221,6 +231,11 @@
         worst = self.predictor.check()
         if worst < ACCURATE:
             self.act(i.Log(f"relearned: accuracy on admitted parts fell to {worst:.2f}"))
+            self.relearn()
+
+    def relearn(self):
+        if self.predictor.relearn():
+            self.later(self.s.tick_us, self.relearn)
 
     def on_list(self, event):
         if event.kind is News.FAILED:
@@ -257,11 +272,14 @@
         kind = self.s.classes[event.class_name]
         query = self.queries[event.query] = self.numbers[event.number] = state.Query(event, kind)
         self.taken.add(self.now)
-        # A try cut shorter than usual ends with the client's whole time, which tells when it first asked.
+        # A try cut shorter than usual ends with the client's whole time, which tells when it first asked. One
+        # as short as its tenant's all are is not cut: clients of little patience would be refused as late.
         left, last = event.drop_dead_us - self.now, event.drop_dead_us - 2 * self.s.tick_us
-        usual = self.usual.get(kind.name, left)
-        self.usual[kind.name] = usual * (DRIFT if left > usual else 1 / DRIFT)
-        first = self.now if left > CUT * usual else event.drop_dead_us - kind.deadline_us
+        who = kind, event.tenant if event.tenant in self.shares else None
+        usual = self.usual.setdefault(who, state.Steady(left, ALIKE))
+        if not event.repeated:
+            usual.take(left, query.key, 1 - CUT)
+        first = self.now if left > CUT * usual.value else event.drop_dead_us - kind.deadline_us
         query.aim = min(last, int(first + kind.aim_of(event.cost_us or 0) - 3 * self.s.tick_us))
         query.end = last if kind.late_worth > KEEP_LATE else query.aim
         self.due.put(query.aim, self.settle, query)
@@ -511,7 +529,8 @@
     def close(self, query):
         query.open = False
         del self.queries[query.id], self.numbers[query.number]
-        for part in query.parts:
+        parts, query.parts, query.spares = query.parts, [], []      # no cycle is left for a collector
+        for part in parts:
             self.cancel(part)
 
     def cancel(self, part):
--- a/mothnotch/decisions/state.py
+++ b/mothnotch/decisions/state.py
@@ -6,6 +6,7 @@
 import math
 from collections import deque
 from hashlib import blake2b
+from operator import mul
 
 from mothnotch.decisions.interface import ANSWERED, NEVER_RAN
 
@@ -120,35 +121,40 @@
 class Logistic:
     """One logistic unit on min-max scaled inputs; the scale is that of the samples it is made for."""
 
-    def __init__(self, samples, bounds, rate, epochs, rng):
-        """Made from [(inputs, label)] by gradient steps, so many passes over them in a drawn order; each
-        weight stays within its bounds (least, most)."""
+    def __init__(self, samples, bounds, rate):
+        """Made for [(inputs, label)]; each weight stays within its bounds (least, most)."""
         self.bounds, self.rate = bounds, rate
         columns = list(zip(*(inputs for inputs, _ in samples), strict=True))
         self.spans = [(min(column), max(column)) for column in columns]
         self.weights = [0.0] * (len(columns) + 1)
-        samples = list(samples)
-        for _ in range(epochs):
-            rng.shuffle(samples)
-            for inputs, label in samples:
-                self.step(inputs, label)
+        self.samples = [(self.scaled(inputs), label) for inputs, label in samples]
+
+    def pass_over(self, rng):
+        """One pass of gradient steps over the samples it was made for, in a drawn order."""
+        rng.shuffle(self.samples)
+        for scaled, label in self.samples:
+            self.fit(scaled, label)
 
     def scaled(self, inputs):
-        return [min(1.0, max(0.0, (x - low) / (high - low))) if high > low else 0.0
+        return [(0.0 if x <= low else 1.0 if x >= high else (x - low) / (high - low)) if high > low else 0.0
                 for x, (low, high) in zip(inputs, self.spans, strict=True)] + [1.0]
 
     def output(self, scaled):
-        z = sum(w * x for w, x in zip(self.weights, scaled, strict=True))
+        z = sum(map(mul, self.weights, scaled))
         return 1 / (1 + math.exp(-max(-30.0, min(30.0, z))))
 
     def chance(self, inputs):
         return self.output(self.scaled(inputs))
 
     def step(self, inputs, label):
-        scaled = self.scaled(inputs)
-        error = self.rate * (label - self.output(scaled))
-        self.weights = [min(most, max(least, w + error * x))
-                        for w, x, (least, most) in zip(self.weights, scaled, self.bounds, strict=True)]
+        self.fit(self.scaled(inputs), label)
+
+    def fit(self, scaled, label):
+        error, weights = self.rate * (label - self.output(scaled)), []
+        for w, x, (least, most) in zip(self.weights, scaled, self.bounds, strict=True):
+            w += error * x
+            weights.append(least if w < least else most if w > most else w)
+        self.weights = weights
 
 
 class Window:
@@ -168,6 +174,20 @@
         return self.sum if self.items else 0.0
 
 
+class Steady:
+    """What a value mostly is: it changes once so many in a row, of different keys, are alike."""
+
+    def __init__(self, value, needed):
+        self.value, self.last, self.key, self.needed, self.alike = value, math.inf, None, needed, 0
+
+    def take(self, value, key, share):
+        """`share`: by how much of itself the last one may differ to be alike."""
+        alike = key != self.key and abs(value - self.last) < share * value
+        self.alike, self.last, self.key = (self.alike + 1 if alike else 0), value, key
+        if self.alike >= self.needed:
+            self.value = value
+
+
 class Bucket:
     """A token bucket, full at first."""
 
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -62,6 +62,11 @@
     def live(self):
         return [a for a in self.exchange.attempts if not a.ended]
 
+    @property
+    def went(self):
+        """Whether anything of it may have gone out."""
+        return self.connection is not None
+
     def dropped(self, attempt):
         """An attempt of it was called off: once nobody waits for any, it ends."""
         if not self.live:
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -10,6 +10,7 @@
 import trio
 
 from mothnotch.decisions import interface as i
+from mothnotch.decisions.links import Hearing
 from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
 from mothnotch.node import frames
@@ -29,7 +30,7 @@
     """One connection to a leaf, under way or made."""
 
     __slots__ = ("leaf", "address", "stream", "reader", "out", "spent", "waiting", "rest", "given", "queued", "ends",
-                 "probes", "idle_since", "dead", "no_more")
+                 "probes", "idle_since", "dead", "no_more", "heard_us")
 
     def __init__(self, leaf):
         self.leaf, self.address, self.stream, self.reader = leaf, leaf.address, None, frames.Reader()
@@ -38,7 +39,7 @@
         self.rest, self.given, self.queued = bytearray(), 0, 0     # unsent bytes; bytes the socket took; all bytes
         self.ends = deque()                  # (offset of the frame's end, attempts) not taken by the socket yet
         self.probes = deque()                # (sent_us, post) of the probes out
-        self.idle_since, self.dead, self.no_more = trio.current_time(), False, False
+        self.idle_since, self.dead, self.no_more, self.heard_us = trio.current_time(), False, False, 0
 
     @property
     def load(self):
@@ -65,9 +66,9 @@
         self.network, self.log, self.streams, self.per_call = network, log, streams, max(1, per_call)
         self.most, self.idle_s, self.connect_s = most, idle_s, connect_s
         self.leaves, self.open = {}, 0
-        self.timeouts = Timeouts(self.timed_out)
+        self.timeouts, self.hearing = Timeouts(self.timed_out), Hearing()
         self.counts = {"connects": 0, "connects_failed": 0, "frames": 0, "given_up": 0, "spoilt": 0, "over_most": 0,
-                       "late": 0}
+                       "late": 0, "silent": 0}
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Runs until cancelled; every connection's task lives in its nursery."""
@@ -219,6 +220,7 @@
                     return
                 if not data:
                     break
+                link.heard_us = int(at * 1e6)
                 found, error = link.reader.feed(data)
                 for letter, rest in found:
                     self.take(link, letter, rest, int(at * 1e6))
@@ -244,6 +246,7 @@
                 link.out[wire_id] = attempt
                 raise frames.FrameError("an answer to what has not gone out")
             else:
+                self.hearing.answered(at_us - attempt.went_us)
                 attempt.end(RESULTS[end], value, report, at_us)
             self.rested(link)
         elif letter in b"op" and link.probes:
@@ -271,6 +274,10 @@
             return
         del link.out[wire_id]
         self.counts["given_up"] += 1
+        if ticket.went and not link.no_more and self.hearing.silent(
+                attempt.went_us, link.heard_us, int(trio.current_time() * 1e6)):
+            link.no_more = True                   # what is sent next opens a connection of its own
+            self.counts["silent"] += 1
         link.spent[wire_id] = None
         if len(link.spent) > SPENT:
             del link.spent[next(iter(link.spent))]
--- a/mothnotch/node/frames.py
+++ b/mothnotch/node/frames.py
@@ -6,6 +6,7 @@
 LINE = 512                       # the longest line of an answer
 LENGTH = struct.Struct("<I")
 ENDS = ("good", "bad", "later")
+LETTERS = b"opqr"                # what a leaf sends
 ID = re.compile(rb"[0-9A-Za-z._:-]{1,160}")
 NUMBER = re.compile(rb"-?[0-9]{1,20}")
 
@@ -47,6 +48,8 @@
                 self.held = b""
                 # What stood whole before it still counts.
                 return found, FrameError(f"a frame of {length} bytes; 1 to {self.limit} are taken")
+            if len(data) - at > 4 and data[at + 4] not in LETTERS:
+                return found, FrameError(f"an unknown letter {data[at + 4:at + 5]!r}")
             if len(data) - at - 4 < length:
                 break
             found.append((data[at + 4:at + 5], data[at + 5:at + 4 + length]))
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -174,7 +174,7 @@
 
     def __init__(self, core, config, network, log, share, ready):
         self.core, self.config, self.network, self.log, self.share, self.ready = core, config, network, log, share, ready
-        self.clients, self.names, self.stopping = set(), set(), False
+        self.clients, self.names, self.stopping = {}, set(), False      # clients: in the order they came
         self.counts = {"connections": 0, "requests": 0, "bad": 0, "shed": 0, "slow": 0}
 
     async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
@@ -200,7 +200,7 @@
                 await trio.sleep(0.05)               # no descriptors left: it must not spin
                 continue
             client = Client(self, stream)
-            self.clients.add(client)
+            self.clients[client] = None
             self.counts["connections"] += 1
             self.shed()
             if not client.dead:
@@ -251,7 +251,7 @@
         if client.dead:
             return
         client.dead = True
-        self.clients.discard(client)
+        self.clients.pop(client, None)
         shut(client.stream)
         if client.query is not None:
             query, client.query = client.query, None
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -232,6 +232,8 @@
             for part in query.parts:
                 if not part.out:
                     del self.parts[part.id]
+            # Parts know their query: without this, each query were a cycle, and the collector's long pauses the root's.
+            query.parts = ()
         self.closing = []
 
     # ---- the loop ----
@@ -314,7 +316,12 @@
             waiting.remove(attempt)
             attempt.end(i.Result.UNSENT)
             return
-        attempt.end(i.Result.CANCELLED)
+        if attempt.call is None or attempt.call.went:
+            attempt.end(i.Result.CANCELLED)
+        else:
+            # Called off before any of it went out: proven not to have run. Only where it is wanted still does the
+            # wait for a connection say something of the leaf.
+            attempt.end(i.Result.UNREACHABLE if part.query.outcome is None else i.Result.UNSENT)
         if attempt.call is not None:
             attempt.call.dropped(attempt)
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -250,6 +250,8 @@
     root.balancer.predictor.kept.extend(samples)
     root.balancer.predictor.marks["s1"] = 0, 10
     root.run(5 * S)
+    assert root.balancer.predictor.unit is None          # made over several turns: none holds up the root for long
+    root.run(100 * MS)
     unit = root.balancer.predictor.unit
     assert all(w >= 0 for w in unit.weights[:6]) and all(w <= 0 for w in unit.weights[6:9])
 
@@ -389,3 +391,48 @@
     lost, _ = root.ask()
     assert not of(i.Cancel, root.run(495 * MS))
     assert i.Cancel(f"{lost}.0", 0) in root.said + root.run(10 * MS)
+
+
+def test_a_tenant_whose_tries_are_all_short_is_not_refused_for_being_late():
+    """Its clients wait 66 ms where the class allows 3 s: none of those tries is the rest of an older one."""
+    root = Root(query_class("hold", late_worth=0.1, repeat=i.Repeat.KEYED, repeat_window_us=1 * S), tenants={"t": 1000.0})
+    for _ in range(20):
+        query, _ = root.ask(name="hold", tenant="t", cost=10 * MS)
+        root.end(f"{query}.0", latency=15 * MS)
+        root.now += 50 * MS
+    last = []
+    for _ in range(12):
+        query, actions = root.ask(name="hold", tenant="t", cost=10 * MS, life=66 * MS)
+        if of(i.Send, actions):
+            root.end(f"{query}.0", latency=15 * MS)
+        last.append(bool(of(i.Send, actions)))
+        root.now += 50 * MS
+    assert all(last[4:])
+
+
+def test_a_last_try_cut_short_still_counts_from_the_first():
+    root = Root(query_class("hold", late_worth=0.1, repeat=i.Repeat.KEYED, repeat_window_us=1 * S), tenants={"t": 1000.0})
+    for n in range(20):
+        life = (3 * S, 400 * MS, 1300 * MS, 700 * MS)[n % 4]
+        query, actions = root.ask(name="hold", tenant="t", cost=10 * MS, life=life, key=f"k{n}")
+        if of(i.Send, actions):
+            root.end(f"{query}.0", latency=15 * MS)
+        assert bool(of(i.Send, actions)) is (life == 3 * S)      # the others were asked first over an aim ago
+        root.now += 50 * MS
+
+
+def test_an_ended_query_leaves_no_cycle_behind():
+    """Cycles would wait for the collector, whose pauses hold up every other query of a busy root."""
+    import gc
+    import weakref
+    root = Root()
+    query, _ = root.ask(shards=(0, 0))
+    seen = weakref.ref(root.balancer.queries[query])
+    gc.disable()
+    try:
+        root.end(f"{query}.0")
+        root.end(f"{query}.1")
+        root.run(4 * S)                                  # what was due for it has passed
+        assert seen() is None
+    finally:
+        gc.enable()
