A part whose loss ends its query takes no spare: the module crashed there

Cause: retry() called lose(part), then query.spares.pop(0). A loss that leaves too little for any answer ends the query, and close() has emptied the list of spares since (before, the list stayed and place() found the query closed). It needs parts of unequal weight, so that the last spare is too light to count. Checked: review() and begin() take spares without a loss before it. The test fails without the mend.

--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -477,8 +477,9 @@
     def retry(self, part, free=False):
         # What is left goes to the queries that need little of it to be whole.
         if part.query.spares:
+            spare = part.query.spares.pop(0)       # first: the loss may end the query, which drops them
             self.lose(part)
-            self.place(part.query.spares.pop(0))
+            self.place(spare)
         elif self.may_repeat(part) and (free or self.spare() >= 1 + part.query.further):
             if any(h not in part.tried for h in self.holding(part)):
                 self.place(part)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -398,3 +398,15 @@
                 sent += len(of(i.Send, root.ask(cost=50 * MS)[1]))
             sent += len(of(i.Send, root.run(100 * MS)))
     assert 1 <= sent * 50 * MS <= 1.5 * 3 * S * 0.5    # COLD_LOAD of what one core surely does by then
+
+
+def test_a_part_whose_loss_ends_its_query_takes_no_spare():
+    """Guards against a crash: the query that a lost part ends has given its spares up by then."""
+    root = Root(query_class(whole_at=0.5, floor=0.5), servers=("s1",), limits={"max_attempts": 1})
+    weights = (0.4, 0.3, 0.2, 0.1)
+    root.events(i.QueryArrived("q", 1, "read", None, None, root.now + 3 * S, None, False),
+                *(i.PartArrived(f"q.{n}", 1, n, w, 50 * MS) for n, w in enumerate(weights)))
+    root.end("q.0", i.Result.ERROR)                 # its spare, q.2, stands in
+    assert "q.2" in root.number and "q.3" not in root.number
+    actions = root.end("q.1", i.Result.ERROR)       # too little is left for any answer, though one spare is
+    assert [a.query for a in of(i.Refuse, actions)] == ["q"] and "q.3" not in root.number
