What reached no server is tried elsewhere without a token; moves leave one, not eight

The bucket takes 0.2 a part, and a third of a query's 18 parts are cut off. Cause: balance.py l. 384 charged an attempt that never reached a server like work made twice, and l. 426 held eight of twenty tokens back from moves for retries, though where copies are not allowed a move is what saves a part. Change: an attempt that ended without a connection is followed by one at the next untried holder, free of tokens (the limit of attempts and a stated budget hold as before). Moves leave one token, copies the old reserve. Harm: while connections to many sound servers fail, each part makes as many attempts as it has holders.

--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -25,7 +25,7 @@
 SUSPECT_FAILS = 0.35     # share of recent attempts failed that makes a server suspect
 PATIENCE = 3.0           # an attempt out for so many typical latencies is reviewed
 MORE_SHARE, MORE_BURST = 0.2, 20   # tokens for further attempts: so many a part taken, so many at once
-RESERVE = 0.4            # of a burst, what copies leave to retries: a lost part loses its whole query
+RESERVE = 0.4            # of a burst, what copies leave to retries (moves one): a lost part loses its query
 FADE_US, FADE_GAPS, FAIL_COST = 2_000_000, 3, 4   # what was seen fades in that or so many gaps; failing costs
 SHED_FROM = 0.25         # the least worthy work is refused once it would take this share of its time
 COLD_LOAD = 1.5          # a cold server gets at most this multiple of its guessed present capacity
@@ -423,7 +423,7 @@
         best = self.best([h for h in self.ready(part) if h not in part.tried], kind) if stuck else None
         if (not best or best.suspect(self.now, kind) or not self.may_repeat(part)
                 or best.expect(self.now, kind) > self.now - attempt.sent_us
-                or self.spare() < 1 + RESERVE * self.burst):
+                or self.spare() < 1 + (RESERVE * self.burst if self.s.limits.second_copies else 1)):
             self.later(max(self.s.tick_us, self.fleet.middle_latency or 0), self.review, attempt)
         elif self.s.limits.second_copies:
             self.send(part, best, False)
@@ -467,6 +467,8 @@
             part.held = True
             self.release(query)
         elif not part.out:
+            # One that reached no server made no work for any: the next holder is tried without a token.
+            part.paid = part.paid or result is Result.UNREACHABLE and self.untried(part)
             self.retry(part, free=stale)
 
     def spare(self):
@@ -475,6 +477,9 @@
             return self.more.tokens
         return self.s.rules.further_allowed(self.taken.total(self.now)) - self.further.total(self.now)
 
+    def untried(self, part):
+        return any(h not in part.tried for h in self.holding(part))
+
     def retry(self, part, free=False):
         # What is left goes to the queries that need little of it to be whole.
         if part.query.spares:
@@ -482,7 +487,7 @@
             self.lose(part)
             self.place(spare)
         elif self.may_repeat(part) and (free or part.paid or self.spare() >= 1 + part.query.further):
-            if any(h not in part.tried for h in self.holding(part)):
+            if self.untried(part):
                 self.place(part)
             else:
                 self.later(HOLD_US, self.place, part)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -531,3 +531,22 @@
             root.end(f"{query}.0", latency=400 * MS)
     assert of(i.Send, root.ask(tenant="t")[1])
     assert of(i.Refuse, root.ask(tenant="t")[1])     # a second one at once is beyond its share
+
+
+def test_what_reached_no_server_is_tried_elsewhere_without_a_token():
+    """Guards against a zone cut off: a third of a wide query's parts need another holder at once, and no work was made."""
+    root = learned()
+    root.balancer.more.tokens = 0.5
+    query, _ = root.ask(shards=tuple(range(9)), key="k")
+    root.balancer.more.tokens = 0.5
+    parts = [f"{query}.{n}" for n in range(9) if root.out[f"{query}.{n}", 0] == "s1"]
+    for part in parts:
+        assert of(i.Send, root.end(part, i.Result.UNREACHABLE)) and root.out[part, 1] != "s1"
+    assert parts and root.balancer.more.tokens == 0.5
+
+
+def test_moves_leave_one_token_where_there_are_no_copies_to_hold_back():
+    root = learned()
+    there = silent_home(root, shards=tuple(range(6)))
+    root.balancer.more.tokens = 1.0 + len(there)
+    assert len(of(i.Cancel, root.run(500 * MS))) == len(there)
