run starts no other program: trio's look-up of a library forked ldconfig at each start

Seen: the new test's audit hook told of subprocess.Popen of /sbin/ldconfig before the first listener. Checked: nothing else starts, from start to SIGTERM.

--- a/mothnotch/node/__main__.py
+++ b/mothnotch/node/__main__.py
@@ -1,4 +1,5 @@
 """`python -m mothnotch.node`: one real root on the platform, in the foreground."""
+import ctypes.util
 import gc
 import os
 import signal
@@ -9,8 +10,13 @@
 for number in (signal.SIGHUP, signal.SIGTERM):
     signal.signal(number, lambda n, frame: EARLY.append(n))
 
+# Trio looks for the library that names threads, and that look-up starts /sbin/ldconfig: a program, which the platform
+# refuses, and a fork at each start. Nothing found, the threads stay without names. Harm: none but that.
+find_library, ctypes.util.find_library = ctypes.util.find_library, lambda name: None
 import trio  # noqa: E402
 
+ctypes.util.find_library = find_library
+
 from mothnotch.net import SocketNetwork  # noqa: E402
 from mothnotch.node.config import ConfigError, load  # noqa: E402
 from mothnotch.node.log import Log  # noqa: E402
