mothnotch serve speaks with its peers: datagrams, settings, bounded intake

Need: the membership and the facts had no way out of a process. Off by default, not imported by run.

--- a/mothnotch/config.py
+++ b/mothnotch/config.py
@@ -11,6 +11,7 @@
 from mothnotch import net
 from mothnotch.decisions import interface as i
 from mothnotch.decisions import membership
+from mothnotch.decisions.fleet import peers
 from mothnotch.decisions.roster import Leaf, checked
 from mothnotch.leaves.pool import PoolSettings
 from mothnotch.sql.schema import TYPE_NAMES, Schema, Table
@@ -173,6 +174,22 @@
             cell_key=self.cell, zone_key=self.zone, started_key=self.started)
 
 
+class PeersConfig(Strict):
+    """The roots' own peers: datagrams at `listen`, first to `seeds`. `fleet` and `keys` are the same at all of them; a key
+    has 16 to 64 bytes, the first signs, and a second is valid besides while keys are changed."""
+    name: str
+    listen: str
+    fleet: str
+    keys: list[str]
+    seeds: list[str] = []
+    period_ms: float = 500.0
+
+    def settings(self):
+        """The Settings of the membership decisions: an answer is waited for 0.4 of a period."""
+        period = int(self.period_ms * 1000)
+        return peers.Settings(period_us=period, answer_us=int(0.4 * period), say_us=int(0.4 * period))
+
+
 class LogConfig(Strict):
     format: Literal["console", "json"] = "json"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -198,6 +215,7 @@
     leaves: LeavesConfig = LeavesConfig()
     memory: MemoryConfig = MemoryConfig()
     log: LogConfig = LogConfig()
+    peers: PeersConfig | None = None
     call_work_ms: float = 0.0
     weighted: bool = False
 
@@ -283,6 +301,8 @@
         wrong("memory.directory", f"{config.memory.directory!r} is no folder")
     if config.consul is not None:
         check_consul(config.consul, wrong)
+    if config.peers is not None:
+        check_peers(config.peers, wrong)
     if config.auth.method != "trust" and not config.auth.users:
         wrong("auth.users", "names nobody; give each user's password")
     for name, table in config.tables.items():
@@ -362,6 +382,24 @@
         wrong("consul.register.service", "is the leaves' own service: the root would be taken for a leaf")
 
 
+def check_peers(c, wrong):
+    """Errors of the peers section."""
+    for where, address in (("listen", c.listen), *((f"seeds[{n}]", a) for n, a in enumerate(c.seeds))):
+        try:
+            if net.parse_address(address)[0] != "tcp":
+                raise net.AddressError(f"address {address!r}: datagrams need HOST:PORT")
+        except net.AddressError as error:
+            wrong(f"peers.{where}", str(error))
+    if not 0 < len(c.name) <= 64:
+        wrong("peers.name", "must have 1 to 64 characters, and be another for each root")
+    if not c.fleet:
+        wrong("peers.fleet", "must name the fleet")
+    if not 1 <= len(c.keys) <= 2 or not all(16 <= len(key.encode()) <= 64 for key in c.keys):
+        wrong("peers.keys", "must hold one key, or two while they are changed, of 16 to 64 bytes")
+    if not 50 <= c.period_ms <= 10_000:
+        wrong("peers.period_ms", "must lie between 50 and 10000")
+
+
 def load(path):
     """The checked configuration of a file; the roster's path is taken from the file's folder."""
     path = Path(path)
--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -16,6 +16,8 @@
 from mothnotch.leaves.pool import Leaves
 from mothnotch.merge.holding import Holding
 from mothnotch.net import parse_address
+from mothnotch.peers.service import Service as PeerService
+from mothnotch.post import SocketPost
 from mothnotch.root.core import Core
 from mothnotch.root.roster import FileRoster, Watch
 from mothnotch.sql.plan import Planner
@@ -24,9 +26,9 @@
 
 class Root:
     """One root. `random(n)` gives bytes for secrets and for the name of this run; `source` is its roster, in place
-    of the file or the catalogue that the configuration names."""
+    of the file or the catalogue that the configuration names; `post` carries the datagrams of its peers."""
 
-    def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None):
+    def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None, post=None):
         self.config, self.network, self.log = config, network, log
         schema = config.schema()
         self.leaves = Leaves(network, config.pool(), log)
@@ -37,7 +39,13 @@
         name = f"{config.root.me}-{random(6).hex()}"
         self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
         self.front = PgFront(self.service, config, network, log, random)
-        self.addresses, self.registrar = [], None
+        self.addresses, self.registrar, self.peers = [], None, None
+        if config.peers is not None:
+            c, drawn = config.peers, Random(random(8))
+            # Of two lives the later one has the higher number, as far as wall clocks go; the membership mends the rest.
+            life = int(network.wall() * 1000), drawn.getrandbits(32)
+            self.peers = PeerService(post or SocketPost(), log, c.name, life, c.listen, c.seeds, c.fleet,
+                                     [k.encode() for k in c.keys], drawn, c.settings())
         if config.consul is None or source is not None:
             self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
             return
@@ -68,6 +76,8 @@
                     listeners += await self.network.listen(address)
                 self.addresses = [self.network.name(listener) for listener in listeners]
                 nursery.start_soon(self.front.run, listeners, nursery)
+                if self.peers is not None:
+                    await nursery.start(self.peers.run)
                 if self.registrar is not None:
                     nursery.start_soon(self.registrar.run)
                 self.log.info("serving", addresses=self.addresses)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,6 +15,9 @@
 ROOT = Path(__file__).parent.parent
 
 
+PEERS = {"name": "a", "listen": "127.0.0.1:0", "fleet": "f", "keys": ["a key of these tests"]}
+
+
 def wrong(**changes):
     return check(decode(json.dumps({**demo.CONFIG, **changes}), Config, "c"), "c")
 
@@ -30,6 +33,11 @@
     ({"classes": {"a": {"aim_ms": 9, "deadline_ms": 5, "default": True}}}, "classes.a.aim_ms"),
     ({"classes": {"a": {"aim_ms": 1, "deadline_ms": 5, "default": True, "floor": 0.5}}}, "classes.a.default"),
     ({"classes": {"a": {"aim_ms": 1, "deadline_ms": 5, "repeat": "keyed", "default": True}}}, "classes.a.repeat_window_ms"),
+    ({"peers": {**PEERS, "listen": "unix:/x"}}, "peers.listen"),
+    ({"peers": {**PEERS, "seeds": ["a:1", "b"]}}, "peers.seeds[1]"),
+    ({"peers": {**PEERS, "keys": ["short"]}}, "peers.keys"), ({"peers": {**PEERS, "keys": []}}, "peers.keys"),
+    ({"peers": {**PEERS, "name": ""}}, "peers.name"), ({"peers": {**PEERS, "fleet": ""}}, "peers.fleet"),
+    ({"peers": {**PEERS, "period_ms": 1}}, "peers.period_ms"),
     ({"root": {"roots": 2, "me": 2}}, "root.me"), ({"rules": {"budget_share": 0.1}}, "rules.budget_window_s"),
 ])
 def test_every_error_names_its_path(changes, named):
@@ -37,7 +45,7 @@
 
 
 def test_the_demo_is_sound_and_settings_come_out_whole():
-    assert wrong() == []
+    assert wrong() == [] and wrong(peers=PEERS) == []
     settings = demo.config().settings()
     hold = settings.classes["hold-set"]
     assert hold.repeat.value == "keyed" and hold.repeat_window_us == 1_200_000 and settings.cells == 8
