Peers, read again: a fact's size stands once; dead assignments and a pop put back are gone

facts.py had the same cost function as a default of two methods, which nobody passed: now Fact.size. peers.py set a suspicion's begin again where Peer's constructor had, and took a relay out to put it back. No behaviour changes; the tests of both files pass (61) unchanged.

--- a/mothnotch/decisions/fleet/facts.py
+++ b/mothnotch/decisions/fleet/facts.py
@@ -44,6 +44,11 @@
     age_us: int
     span_us: int
 
+    @property
+    def size(self):
+        """About the bytes that it takes of a message."""
+        return 40 + len(self.origin) + len(self.key) + len(self.value)
+
 
 @dataclass(slots=True, frozen=True)
 class Known:
@@ -196,18 +201,18 @@
         return Fact(origin, self.origins[origin].life, key, entry.version, entry.value, entry.age(now, self.s.drift),
                     entry.span_us)
 
-    def riding(self, room, size, now, cost=lambda fact: 40 + len(fact.origin) + len(fact.key) + len(fact.value)):
+    def riding(self, room, size, now):
         """Facts to go with a message, those that have ridden least first, within `room` bytes; `size`: of the fleet."""
         most, found = max(1, math.ceil(self.s.repeats * math.log2(size + 1))), []
         for (origin, key), entry in sorted(self.fresh.items(), key=lambda item: item[1].rode):
             fact = self.fact(origin, key, entry, now)
-            if fact.age_us < fact.span_us and cost(fact) > room:
+            if fact.age_us < fact.span_us and fact.size > room:
                 continue
             entry.rode += 1
             if entry.rode >= most or fact.age_us >= fact.span_us:
                 del self.fresh[origin, key]
             if fact.age_us < fact.span_us:
-                room -= cost(fact)
+                room -= fact.size
                 found.append(fact)
         return tuple(found)
 
@@ -219,7 +224,7 @@
         return tuple(Mark(name, self.origins[name].life, self.origins[name].top, self.origins[name].sum)
                      for name in [self.name, *part])
 
-    def lacking(self, marks, room, now, cost=lambda fact: 40 + len(fact.origin) + len(fact.key) + len(fact.value)):
+    def lacking(self, marks, room, now):
         """(facts that the sender of marks lacks, within `room` bytes; marks of this root where the sender has more). Who
         gets the latter sends the facts that they lack in turn: one exchange evens out both sides, as far as room goes."""
         found, wanted = [], []
@@ -240,8 +245,8 @@
             above = mark.top if held.life == mark.life else 0
             for key, entry in sorted(held.keys.items(), key=lambda item: (item[1].version <= above, item[1].version)):
                 fact = self.fact(mark.origin, key, entry, now)
-                if fact.age_us < fact.span_us and cost(fact) <= room:
-                    room -= cost(fact)
+                if fact.age_us < fact.span_us and fact.size <= room:
+                    room -= fact.size
                     found.append(fact)
         return tuple(found), tuple(wanted)
 
--- a/mothnotch/decisions/fleet/peers.py
+++ b/mothnotch/decisions/fleet/peers.py
@@ -387,11 +387,10 @@
         out.append(self.send(address, ACK, message.sender.name, message.number))
 
     def on_ack(self, now, address, message, out):
-        relay = self.relays.pop(message.number, None)
+        relay = self.relays.get(message.number)
         if relay is not None and relay[2] == message.sender.name:
+            del self.relays[message.number]
             out.append(self.send(relay[0], ACK, "", relay[1], message.sender.name))
-        elif relay is not None:
-            self.relays[message.number] = relay
         probe = self.probe
         if probe is not None and not probe.done and message.number == probe.number and probe.name in (
                 message.sender.name, message.target):
@@ -506,15 +505,11 @@
             peer = self.peers[claim.name] = Peer(claim, now)
             self.round.insert(self.random.randrange(len(self.round) + 1), claim.name)
             self.news.append(News("joined", claim.name, claim.life))
-            if claim.state == SUSPECT:
-                peer.began = now
         elif claim.life < peer.claim.life:
             return
         elif claim.life > peer.claim.life:
-            fresh = self.peers[claim.name] = Peer(claim, now)
-            fresh.began = now
+            peer = self.peers[claim.name] = Peer(claim, now)
             self.news.append(News("new life", claim.name, claim.life))
-            peer = fresh
             if claim.state == GONE:
                 peer.ends = now + self.s.forget_us
         else:
