--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -122,4 +122,57 @@
     root.front.client = client
 
 
-ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, late_news, half_as_whole, many_attempts, no_cold, silent, double)}
+def old_life(root):
+    """Believes an old life's word: of two lives, the one that speaks last counts."""
+    def made(talk):
+        view, believe = talk.peers, talk.peers.believe
+        view.life_of = lambda name: None
+
+        def trusting(claim, now, direct=False):
+            peer = view.peers.get(claim.name)
+            if peer is not None and claim.life < peer.claim.life:
+                del view.peers[claim.name]
+            believe(claim, now, direct)
+
+        view.believe = trusting
+
+    root.peers.made = made
+
+
+def young_facts(root):
+    """Counts a fact's age from when it came."""
+    def made(talk):
+        take = talk.facts.take
+        talk.facts.take = lambda facts, transit, now, life_of: take(
+            [dataclasses.replace(f, age_us=0) for f in facts], 0, now, life_of)
+
+    root.peers.made = made
+
+
+def never_gone(root):
+    """Waits for ever for a root that is dead."""
+    def made(talk):
+        talk.peers.run_out = lambda now: None
+        talk.peers.claimed = lambda claim, by, now: None
+
+    root.peers.made = made
+
+
+def hasty(root):
+    """Holds whoever it suspects for gone at once, and asks nobody else first."""
+    def made(talk):
+        view = talk.peers
+
+        def probed(now, out):
+            probe, view.probe = view.probe, None
+            peer = view.peers.get(probe.name) if probe is not None else None
+            if peer is not None:
+                view.believe(dataclasses.replace(peer.claim, state="gone"), now)
+
+        view.probed = probed
+
+    root.peers.made = made
+
+
+ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, late_news, half_as_whole, many_attempts, no_cold, silent, double,
+                             old_life, young_facts, never_gone, hasty)}
--- /dev/null
+++ b/mothnotch/audit/peers.py
@@ -0,0 +1,167 @@
+"""What a fleet day's roots believed of one another, held against what was done to them.
+
+Pure: the record holds what was done, and when, and what each root's view said, several times a second.
+"""
+from dataclasses import dataclass, field
+
+from mothnotch.audit.rules import Verdict
+
+
+@dataclass(slots=True)
+class Told:
+    """One root's view at a time: between `asked` and `at` it was so. Seconds of the day's clock."""
+    root: int
+    asked: float
+    at: float
+    view: object                                     # peers.codec.View
+
+
+@dataclass(slots=True)
+class PeersRecord:
+    names: list = field(default_factory=list)        # by number
+    views: list = field(default_factory=list)        # Told
+    down: list = field(default_factory=list)         # (root, from, to): it did not run
+    still: list = field(default_factory=list)        # (root, from, to): it stood still
+    cut: list = field(default_factory=list)          # (root, other, from, to): nothing came from the one to the other
+    worse: list = field(default_factory=list)        # (from, to): links lost or delayed more than they do
+    gone_s: float = 8.0
+    agree_s: float = 5.0
+    fact_s: float = 5.0
+    grace_s: float = 2.0                             # that a root is waited for, at most, when it is asked
+
+
+def overlaps(spans, begin, end):
+    return any(a < end and b > begin for a, b in spans)
+
+
+def spans_of(record, n):
+    """When root n was not to be had: down, standing still, or cut off from all others on one way at least. While one link
+    alone is cut, others speak for it."""
+    cut = [(m + o - n, a, b) for m, o, a, b in record.cut if n in (m, o)]
+    off = [(a, b) for _, a, b in cut] if len({o for o, _, _ in cut}) == len(record.names) - 1 else []
+    return [(a, b) for m, a, b in (*record.down, *record.still) if m == n] + off
+
+
+def sound_not_gone(record):
+    """Nobody holds a root for gone that was there, heard and reachable, all the time that a suspicion may last."""
+    out, checked = [], 0
+    for told in record.views:
+        begin = told.asked - record.gone_s - record.agree_s
+        for peer in told.view.peers:
+            if peer.name not in record.names:
+                continue
+            n = record.names.index(peer.name)
+            if any(overlaps(spans_of(record, m), begin, told.at) for m in (n, told.root)):
+                continue
+            checked += 1
+            if peer.state == "gone":
+                out.append(f"{told.view.name} holds {peer.name} for gone at {told.at:.2f} s, which was there all the time")
+    return Verdict("sound roots are not held for gone", checked, out)
+
+
+def dead_are_gone(record):
+    """A root that has been down for the stated time is held for there by nobody."""
+    out, checked = [], 0
+    for n, begin, end in record.down:
+        for told in record.views:
+            if told.root == n or not begin + record.gone_s <= told.asked <= told.at <= end or overlaps(
+                    spans_of(record, told.root), begin, told.at):
+                continue
+            checked += 1
+            if any(p.name == record.names[n] and p.state != "gone" for p in told.view.peers):
+                out.append(f"{told.view.name} holds {record.names[n]} for there at {told.at:.2f} s, down since {begin:.2f} s")
+    return Verdict(f"dead roots are gone within {record.gone_s:g} s", checked, out)
+
+
+def quiet_since(record, at):
+    """Whether nothing was wrong with anybody for `agree_s` before."""
+    spans = [(a, b) for _, a, b in (*record.down, *record.still)] + [(a, b) for _, _, a, b in record.cut] + record.worse
+    return not overlaps(spans, at - record.agree_s, at)
+
+
+def all_agree(record):
+    """Once nothing is wrong any more, each holds all others for there, in the life that they have."""
+    out, checked, lives = [], 0, {}
+    for told in sorted(record.views, key=lambda t: t.at):
+        lives[told.view.name] = told.view.life
+        if not quiet_since(record, told.at):
+            continue
+        held = {p.name: p for p in told.view.peers}
+        for name in record.names:
+            if name == told.view.name:
+                continue
+            checked += 1
+            peer = held.get(name)
+            if peer is None or peer.state != "alive" or peer.life < lives.get(name, peer.life):
+                out.append(f"{told.view.name} holds {name} for {peer.state if peer else 'nobody'} at {told.at:.2f} s")
+    return Verdict(f"all agree within {record.agree_s:g} s", checked, out)
+
+
+def no_old_life(record):
+    """Who knew of a root's newer life never goes back to an older one, and shows no fact of it any more."""
+    out, checked, newest = [], 0, {}
+    for told in sorted(record.views, key=lambda t: t.at):
+        viewer = told.root, told.view.life
+        for peer in told.view.peers:
+            known = newest.setdefault((viewer, peer.name), peer.life)
+            checked += 1
+            if peer.life < known:
+                out.append(f"{told.view.name} went back to an older life of {peer.name} at {told.at:.2f} s")
+            newest[viewer, peer.name] = max(known, peer.life)
+        for fact in told.view.facts:
+            if fact.life < newest.get((viewer, fact.origin), fact.life):
+                out.append(f"{told.view.name} shows a fact of an older life of {fact.origin} at {told.at:.2f} s")
+    return Verdict("no old life is believed", checked, out)
+
+
+def ages_bound(record):
+    """A fact is never older than its age says. `value` states when it was said."""
+    out, checked = [], 0
+    for told in record.views:
+        for fact in told.view.facts:
+            if fact.key != "day":
+                continue
+            checked += 1
+            true = told.asked - float(fact.value)
+            if fact.age_us / 1e6 < true - 0.005:
+                out.append(f"{told.view.name} takes a fact of {fact.origin} for {fact.age_us / 1e6:.3f} s old, which is "
+                           f"{true:.3f}, at {told.at:.2f} s")
+    return Verdict("facts are no older than said", checked, out)
+
+
+def facts_known(record):
+    """While nothing is wrong, each has heard what the others say anew each second."""
+    out, checked = [], 0
+    for told in record.views:
+        if not quiet_since(record, told.asked):
+            continue
+        for name in record.names:
+            if name == told.view.name:
+                continue
+            checked += 1
+            at = max((float(f.value) for f in told.view.facts if f.origin == name and f.key == "day"), default=None)
+            if at is None or told.asked - at > 1 + record.fact_s:
+                out.append(f"{told.view.name} has heard nothing new of {name} at {told.at:.2f} s")
+    return Verdict(f"facts are known within {record.fact_s:g} s", checked, out)
+
+
+RULES = (sound_not_gone, dead_are_gone, all_agree, no_old_life, ages_bound, facts_known)
+
+
+def figures(record):
+    """{name: seconds} of the day's last line: the longest until the first, and until all, held a dead root for gone."""
+    first = last = 0.0
+    for n, begin, end in record.down:
+        for told in record.views:
+            if told.root != n and begin < told.at < end and not overlaps(spans_of(record, told.root), begin, told.at):
+                gone = all(p.state == "gone" for p in told.view.peers if p.name == record.names[n])
+                if not gone:
+                    last = max(last, told.at - begin)
+        times = [told.at - begin for told in record.views if begin < told.at < end and told.root != n
+                 and any(p.name == record.names[n] and p.state == "gone" for p in told.view.peers)]
+        first = max(first, min(times, default=0.0))
+    return {"first_gone_s": first, "all_gone_s": last}
+
+
+def judge(record):
+    return [rule(record) for rule in RULES]
--- /dev/null
+++ b/mothnotch/badday/links.py
@@ -0,0 +1,151 @@
+"""The links of a fleet day: one each way between any two roots, with faults, over sockets and in memory.
+
+A link is directed. Over sockets a relay stands on every link, for datagrams and for streams: a root reaches another
+only at the relay's address for it, and is told from others by the host that it comes from (each root has a loopback
+address of its own). In memory the network asks the same `Links` for each datagram's fate and each stream.
+
+Bounds: a datagram of 64 KiB, DATAGRAMS on their way at once and STREAMS at once over all relays; what comes beyond is
+lost or closed.
+"""
+import random
+from dataclasses import dataclass
+
+import trio
+
+from mothnotch.net import shut
+from mothnotch.outgoing import GONE
+
+DATAGRAMS, STREAMS = 4096, 256
+CHUNK = 1 << 16
+
+
+@dataclass(slots=True)
+class Link:
+    """What happens on it. `silent`: streams that stand say nothing more, and new ones do not come up."""
+    loss: float = 0.0
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    twice: float = 0.0
+    cut: bool = False
+
+
+class Links:
+    """All links between so many roots. Names of the roots are numbers; `hosts[n]` is root n's host."""
+
+    def __init__(self, hosts, seed):
+        self.hosts, self.random = list(hosts), random.Random(f"links {seed}")
+        self.numbers = {host: n for n, host in enumerate(self.hosts)}
+        self.links = {(a, b): Link() for a in range(len(hosts)) for b in range(len(hosts)) if a != b}
+        self.passed = self.lost = 0
+
+    def between(self, some, others, both=True):
+        """The links from some roots to others, and back."""
+        return [link for (a, b), link in self.links.items() if a in some and b in others or both and b in some and a in others]
+
+    def fates(self, a, b):
+        """The delays, in seconds, with which copies of a datagram arrive; none: it is lost."""
+        link, r = self.links.get((a, b)), self.random
+        if link is None or link.cut or r.random() < link.loss:
+            self.lost += 1
+            return ()
+        self.passed += 1
+        return tuple(0.0005 + link.delay_s + r.random() * link.jitter_s for _ in range(1 + (r.random() < link.twice)))
+
+    # ---- in memory ----
+
+    def attach(self, network):
+        """Makes a MemoryNetwork ask here."""
+        number = lambda address: self.numbers.get(address.rpartition(":")[0] or address)          # noqa: E731
+        network.fate = lambda source, target: self.fates(number(source), number(target))
+
+        def passes(host, target):
+            a, b = number(host), number(target)
+            link, back = self.links.get((a, b)), self.links.get((b, a))
+            return link is None or not (link.cut or back.cut)
+
+        network.passes = passes
+
+
+class Relays:
+    """Relays on all links, over sockets. `targets[n]`: where root n really listens; `address(a, b)`: where a reaches b."""
+
+    def __init__(self, links, network, targets, host="127.0.0.1"):
+        self.links, self.network, self.targets, self.host = links, network, targets, host
+        self.boxes, self.on_way, self.streams = {}, 0, 0
+
+    def address(self, a, b):
+        return self.boxes[a, b].name
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        async with trio.open_nursery() as self.nursery:
+            for a, b in self.links.links:
+                while (a, b) not in self.boxes:
+                    box = await self.network.datagrams(f"{self.host}:0")
+                    try:
+                        listeners = await self.network.listen(box.name)
+                    except OSError:                        # that port is taken for streams: another
+                        box.close()
+                        continue
+                    self.boxes[a, b] = box
+                    self.nursery.start_soon(self.datagrams, box, b)
+                    self.nursery.start_soon(self.accept, listeners[0], b)
+            task_status.started(self)
+            try:
+                await trio.sleep_forever()
+            finally:
+                for box in self.boxes.values():
+                    box.close()
+
+    async def datagrams(self, box, target):
+        while True:
+            data, address = await box.receive(CHUNK)
+            source = self.links.numbers.get(address.rpartition(":")[0])
+            for delay in self.links.fates(source, target):
+                if self.on_way < DATAGRAMS:
+                    self.on_way += 1
+                    self.nursery.start_soon(self.deliver, source, target, delay, data)
+
+    async def deliver(self, source, target, delay, data):
+        await trio.sleep(delay)
+        self.on_way -= 1
+        self.boxes[target, source].send(self.targets[target], data)      # as the target knows the sender
+
+    async def accept(self, listener, target):
+        while True:
+            stream = await listener.accept()
+            source = self.links.numbers.get(stream.socket.getpeername()[0])
+            if self.streams >= STREAMS or (source, target) not in self.links.links:
+                shut(stream)
+                continue
+            self.nursery.start_soon(self.relay, stream, source, target)
+
+    async def relay(self, stream, source, target):
+        self.streams += 1
+        other = None
+        there, back = self.links.links[source, target], self.links.links[target, source]
+        try:
+            with trio.move_on_after(30):                   # no exchange takes so long
+                await self.passing(there, back)
+                other = await self.network.open(self.targets[target], self.host)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.copy, stream, other, there, nursery)
+                    nursery.start_soon(self.copy, other, stream, back, nursery)
+        except* GONE:
+            pass
+        finally:
+            self.streams -= 1
+            shut(stream)
+            if other is not None:
+                shut(other)
+
+    async def passing(self, *links):
+        while any(link.cut for link in links):
+            await trio.sleep(0.05)
+
+    async def copy(self, source, target, link, nursery):
+        while data := await source.receive_some(CHUNK):
+            await self.passing(link)
+            lost = sum(self.links.random.random() < link.loss for _ in range(1 + len(data) // 1400))
+            await trio.sleep(link.delay_s + self.links.random.random() * link.jitter_s + 0.2 * min(lost, 10))
+            await target.send_all(data)
+        nursery.cancel_scope.cancel()
--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -276,7 +276,7 @@
     async def ask(self, kind, mark="", tries=0):
         r, self.open = self.random, self.open + 1
         try:
-            root = r.randrange(self.script.roots)
+            root = self.pick()
             self.numbers += 1
             ask = Ask(f"id:{mark}{self.numbers}", root, kind, kind == "hold-set", 0.0, self.script.load.timeout_ms / 1000)
             client = await self.client(root, kind)
@@ -288,6 +288,10 @@
         if ask.final == "refused" and tries < 3 and r.random() < self.retry:
             await self.ask(kind, mark, tries + 1)
 
+    def pick(self):
+        """The root that a client turns to."""
+        return self.random.randrange(self.script.roots)
+
     async def client(self, root, kind):
         """A connection for that class at that root: an idle one, or a new one."""
         idle = self.idle.setdefault((root, kind), [])
--- /dev/null
+++ b/mothnotch/badday/root.py
@@ -0,0 +1,43 @@
+"""A root of a fleet day, a process of its own: `mothnotch serve`, with a fact that it states anew each second, and a planted
+defect where the day asks for one.
+
+    python -m mothnotch.badday.root CONFIG [BREACH]
+"""
+import os
+import signal
+import sys
+
+import trio
+
+from mothnotch import logs, net
+from mothnotch.audit import breaches
+from mothnotch.badday.fleet import chatter
+from mothnotch.config import load
+from mothnotch.daemon import Root, cpu_time
+
+
+async def orphaned(scope, parent):
+    """Ends with the process that started it, however that ended."""
+    while os.getppid() == parent:
+        await trio.sleep(0.5)
+    scope.cancel()
+
+
+async def main(path, breach):
+    parent = os.getppid()
+    config, network = load(path), net.SocketNetwork()
+    root = Root(config, network, logs.logger("json", config.log.level), cpu=cpu_time)
+    breaches.plant(breach, root)
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            await nursery.start(root.run)
+            nursery.start_soon(chatter, root, network.wall)
+            nursery.start_soon(orphaned, nursery.cancel_scope, parent)
+            print(f"serving postgresql://{root.addresses[0]}", flush=True)
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+                return
+
+
+if __name__ == "__main__":
+    trio.run(main, sys.argv[1], sys.argv[2] if len(sys.argv) > 2 else "")
--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -16,6 +16,19 @@
                 "consul_crash", "consul_wipe", "health_flapping", "depart")
 
 
+# Troubles of the roots and of the links between them, for days with `peers`. `roots` names them, `to` whom they reach.
+FLEET_KINDS = ("root_kill", "root_restart", "root_pause", "link_cut", "link_oneway", "link_loss", "link_delay", "link_twice")
+
+
+class PeersScript(Strict):
+    """Roots speak with one another. The bounds are in periods: by when one that is dead is held for gone by all, by when
+    all agree once nothing is wrong any more, by when all know a fact that is stated anew each second."""
+    period_ms: float = 200.0
+    gone: float = 30.0
+    agree: float = 25.0
+    fact: float = 25.0
+
+
 class ConsulScript(Strict):
     """The roster comes from a stand-in Consul of so many agents, of which a root watches `follow`."""
     agents: int = 3
@@ -31,6 +44,9 @@
     leaves: int | list[str] = 1
     factor: float = 8.0
     share: float = 0.9
+    roots: list[int] = []
+    to: list[int] | None = None         # of links: all others
+    ms: float = 0.0                     # of links: delay, and as much again of jitter
 
 
 class Load(Strict):
@@ -68,9 +84,10 @@
     drain_grace_ms: float = 250.0
     news_late_s: float = 0.0            # the roster is told to roots so late
     consul: ConsulScript | None = None
+    peers: PeersScript | None = None
     troubles: list[TroubleScript] = []
     breach: Literal["", "late_sends", "keys_dropped", "ignores_drains", "half_as_whole", "many_attempts", "no_cold",
-                    "silent", "double", "late_news"] = ""
+                    "silent", "double", "late_news", "old_life", "young_facts", "never_gone", "hasty"] = ""
 
 
 def load(text, path="script"):
@@ -79,7 +96,12 @@
     errors = []
     for n, trouble in enumerate(script.troubles):
         where = f"{path}: troubles[{n}]"
-        kinds = KINDS + MORE_KINDS + (CONSUL_KINDS if script.consul is not None else ())
+        kinds = (KINDS + MORE_KINDS + (CONSUL_KINDS if script.consul is not None else ())
+                 + (FLEET_KINDS if script.peers is not None else ()))
+        if any(not 0 <= n < script.roots for n in [*trouble.roots, *(trouble.to or ())]):
+            errors.append(f"{where}.roots: there are roots 0 to {script.roots - 1}")
+        if trouble.kind in FLEET_KINDS and not trouble.roots:
+            errors.append(f"{where}.roots: names none")
         if trouble.kind not in kinds:
             errors.append(f"{where}.kind: {trouble.kind!r} is not one of {', '.join(kinds)}")
         if not 0 <= trouble.at < script.seconds:
@@ -185,3 +207,15 @@
         TroubleScript("lost_answers", 13.0, 3.0, 8, share=0.3),
         TroubleScript("shared_slow", 16.0, 2.0, 8, 2.0), TroubleScript("vanish", 16.5, 2.0, ["leaf-1"]),
     ])
+
+# Roots together: kills, pauses, one-way cuts, loss, and word of an old life that comes seconds after the new one's.
+PEERS = Script(
+    seconds=32.0, roots=4, load=Load(rate=16.0), peers=PeersScript(),
+    troubles=[
+        TroubleScript("root_kill", 3.0, 9.0, roots=[1]), TroubleScript("link_loss", 4.0, 5.0, roots=[0, 1, 2, 3], share=0.2),
+        TroubleScript("root_pause", 13.0, 4.0, roots=[2]), TroubleScript("link_oneway", 15.0, 4.0, roots=[0], to=[3]),
+        TroubleScript("link_delay", 20.0, 2.0, roots=[1], ms=1200.0), TroubleScript("root_restart", 21.0, 0.5, roots=[1]),
+        TroubleScript("link_twice", 20.0, 6.0, roots=[0, 1, 2, 3], share=0.5),
+    ])
+FLEET_DAYS = {"peers": PEERS}
+BREACHES = {"peers": ("old_life", "young_facts", "never_gone", "hasty")}
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -7,8 +7,10 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Annotated
 
 import cyclopts
+import msgspec
 import trio
 
 from mothnotch import demo as demo_fleet
@@ -224,6 +226,55 @@
         sys.exit(1)
 
 
+@app.command
+def fleetday(day: str, *, seed: int = 1, virtual: bool = False, breach: str = "", json_file: Annotated[
+        Path | None, cyclopts.Parameter(name="--json")] = None):
+    """Play a day of roots that speak with one another, with faults between them; status 1 if a rule or a bound broke.
+
+    DAY is the name of one that comes with the program (peers), or a script. Over sockets each root is a process, with a
+    relay on every link between two; --virtual plays the same in memory. --breach NAME plants a defect, which the day has
+    to catch; --breach list prints those it has. --json FILE keeps the verdicts and figures.
+    """
+    from mothnotch.audit import peers as beliefs
+    from mothnotch.audit.rules import judge, service
+    from mothnotch.badday import fleet
+    from mothnotch.badday import script as scripts
+    try:
+        found = scripts.FLEET_DAYS.get(day) or scripts.load(Path(day).read_text(encoding="utf-8"), day)
+    except OSError as error:
+        failed([f"{day}: is no day ({', '.join(scripts.FLEET_DAYS)}), and cannot be read: {error.strerror}"])
+    except ConfigError as error:
+        failed(error.errors)
+    if found.peers is None:
+        failed([f"{day}: peers: is not stated; bin/mothnotch badday plays days of roots that do not speak"])
+    known = scripts.BREACHES.get(day, scripts.BREACHES["peers"])
+    if breach == "list":
+        print("\n".join(known))
+        return
+    if breach and breach not in known:
+        failed([f"--breach {breach}: this day catches {', '.join(known)}"])
+    found = msgspec.structs.replace(found, breach=breach)
+    record, views = fleet.play_virtual(found, seed) if virtual else fleet.play_sockets(found, seed)
+    verdicts = judge(record) + beliefs.judge(views)
+    print(f"{day}, seed {seed}, {'virtual' if virtual else 'processes'}, {found.roots} roots, {found.seconds:g} s, troubles: "
+          f"{', '.join(t.kind for t in found.troubles) or 'none'}{f', planted: {breach}' if breach else ''}")
+    for verdict in verdicts:
+        print(f"  {verdict.rule:40} {verdict.checked:6} checked {len(verdict.breaches):4} broken")
+        for line in verdict.breaches[:3]:
+            print(f"      {line}")
+    took, served = beliefs.figures(views), service(record).get("all", 0.0)
+    broken = [verdict.rule for verdict in verdicts if verdict.breaches]
+    if json_file is not None:
+        json_file.write_text(json.dumps({
+            "day": day, "seed": seed, "virtual": virtual, "breach": breach, "served": served, "figures": took,
+            "verdicts": [{"rule": v.rule, "checked": v.checked, "breaches": v.breaches[:100]} for v in verdicts]}, indent=1))
+    print(f"{'BROKEN: ' + '; '.join(broken) if broken else 'All held'}: a dead root was held for gone by the first after "
+          f"{took['first_gone_s']:.1f} s and by all after {took['all_gone_s']:.1f} s (bound {views.gone_s:g} s), "
+          f"{len(views.views)} views were asked for, and {served:.3f} of the worth was served.")
+    if broken:
+        sys.exit(1)
+
+
 @app.command
 def bench(*, seconds: float = 5.0, clients: int = 16, profile: bool = True):
     """Compare, in one run over the same leaves: a driver straight to one leaf, a hand-written scatter/gather, the root."""
@@ -244,6 +295,20 @@
         print(line)
 
 
+@app.command
+def peers(*, config: Path):
+    """Print what each root believes of the others, with ages; status 1 if they disagree or one does not answer."""
+    from mothnotch.peers.look import look
+    found = loaded(config)
+    if found.peers is None:
+        failed([f"{config}: peers: is not stated; this root speaks with no other"])
+    lines, agreed = trio.run(look, found.peers, net.SocketNetwork())
+    for line in lines:
+        print(line)
+    if not agreed:
+        sys.exit(1)
+
+
 @app.command
 def study(name: str, *, days: int = 500, seed: int = 0, sockets: bool = False):
     """Run a measurement that the docs give: departures, silence, flapping, watch-cpu, staleness, watchers, merging, hog.
--- a/mothnotch/config.py
+++ b/mothnotch/config.py
@@ -176,12 +176,14 @@
 
 class PeersConfig(Strict):
     """The roots' own peers: datagrams at `listen`, first to `seeds`. `fleet` and `keys` are the same at all of them; a key
-    has 16 to 64 bytes, the first signs, and a second is valid besides while keys are changed."""
+    has 16 to 64 bytes, the first signs, and a second is valid besides while keys are changed. `address` is what the root's
+    entry in the catalogue names, where others do not reach it at `listen`."""
     name: str
     listen: str
     fleet: str
     keys: list[str]
     seeds: list[str] = []
+    address: str | None = None
     period_ms: float = 500.0
 
     def settings(self):
@@ -303,6 +305,9 @@
         check_consul(config.consul, wrong)
     if config.peers is not None:
         check_peers(config.peers, wrong)
+        if (config.consul is not None and config.consul.register is not None and config.peers.address is None
+                and config.peers.listen.startswith("0.0.0.0:")):
+            wrong("peers.address", "must be stated: the catalogue cannot name 0.0.0.0 to the other roots")
     if config.auth.method != "trust" and not config.auth.users:
         wrong("auth.users", "names nobody; give each user's password")
     for name, table in config.tables.items():
@@ -384,7 +389,8 @@
 
 def check_peers(c, wrong):
     """Errors of the peers section."""
-    for where, address in (("listen", c.listen), *((f"seeds[{n}]", a) for n, a in enumerate(c.seeds))):
+    addresses = [("listen", c.listen)] + ([("address", c.address)] if c.address is not None else [])
+    for where, address in (*addresses, *((f"seeds[{n}]", a) for n, a in enumerate(c.seeds))):
         try:
             if net.parse_address(address)[0] != "tcp":
                 raise net.AddressError(f"address {address!r}: datagrams need HOST:PORT")
--- a/mothnotch/consul/register.py
+++ b/mothnotch/consul/register.py
@@ -13,10 +13,11 @@
 
 
 class Registrar:
-    """`conf`: ConsulConfig with `register`; `where()` gives (host, port) that the root serves at."""
+    """`conf`: ConsulConfig with `register`; `where()` gives (host, port) that the root serves at, `more()` what its entry
+    states in its meta beside what the configuration does."""
 
-    def __init__(self, conf, me, name, network, log, random, where):
-        self.conf, self.name, self.log, self.where = conf, name, log, where
+    def __init__(self, conf, me, name, network, log, random, where, more=dict):
+        self.conf, self.name, self.log, self.where, self.more = conf, name, log, where, more
         self.agents = [Agent.of(conf, address, network, f"mothnotch/{me}") for address in conf.agents]
         self.plan = Registration(len(conf.agents), me, conf.register.ttl_s, random)
 
@@ -39,7 +40,8 @@
         if step.what == "register":
             host, port = self.where()
             return "/v1/agent/service/register", api.registration(
-                self.conf.register.service, self.name, host, port, self.conf.register.meta, self.conf.register.ttl_s)
+                self.conf.register.service, self.name, host, port, self.conf.register.meta | self.more(),
+                self.conf.register.ttl_s)
         if step.what == "beat":
             return f"/v1/agent/check/update/service:{self.name}", b'{"Status": "passing", "Output": "serving"}'
         return f"/v1/agent/service/deregister/{self.name}", b""
--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -16,8 +16,8 @@
 from mothnotch.leaves.pool import Leaves
 from mothnotch.merge.holding import Holding
 from mothnotch.net import parse_address
+from mothnotch.peers.catalogue import META, Addresses
 from mothnotch.peers.service import Service as PeerService
-from mothnotch.post import SocketPost
 from mothnotch.root.core import Core
 from mothnotch.root.roster import FileRoster, Watch
 from mothnotch.sql.plan import Planner
@@ -26,9 +26,9 @@
 
 class Root:
     """One root. `random(n)` gives bytes for secrets and for the name of this run; `source` is its roster, in place
-    of the file or the catalogue that the configuration names; `post` carries the datagrams of its peers."""
+    of the file or the catalogue that the configuration names."""
 
-    def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None, post=None):
+    def __init__(self, config, network, log, source=None, seed=None, random=os.urandom, cpu=None):
         self.config, self.network, self.log = config, network, log
         schema = config.schema()
         self.leaves = Leaves(network, config.pool(), log)
@@ -39,12 +39,12 @@
         name = f"{config.root.me}-{random(6).hex()}"
         self.service = Service(self.core, Planner(schema, config.front.plans), schema, config, name)
         self.front = PgFront(self.service, config, network, log, random)
-        self.addresses, self.registrar, self.peers = [], None, None
+        self.addresses, self.registrar, self.peers, self.addresses_of_peers = [], None, None, None
         if config.peers is not None:
             c, drawn = config.peers, Random(random(8))
             # Of two lives the later one has the higher number, as far as wall clocks go; the membership mends the rest.
             life = int(network.wall() * 1000), drawn.getrandbits(32)
-            self.peers = PeerService(post or SocketPost(), log, c.name, life, c.listen, c.seeds, c.fleet,
+            self.peers = PeerService(network, log, c.name, life, c.listen, c.seeds, c.fleet,
                                      [k.encode() for k in c.keys], drawn, c.settings())
         if config.consul is None or source is not None:
             self.watch = Watch(source or FileRoster(config.roster), config.cells, self.core, self.leaves, network, log)
@@ -54,7 +54,9 @@
         self.watch = ConsulWatch(c, c.membership(config.cells, config.reach), config.root.me, self.core, self.leaves,
                                  network, log, store, chance)
         if c.register is not None:
-            self.registrar = Registrar(c, config.root.me, name, network, log, chance, self.where)
+            self.registrar = Registrar(c, config.root.me, name, network, log, chance, self.where, self.peer_meta)
+            if self.peers is not None:
+                self.addresses_of_peers = Addresses(c, config.root.me, network, log, self.peers.named)
 
     def where(self):
         """(host, port) of the first TCP address served; port 0 if there is none."""
@@ -64,6 +66,10 @@
                 return tuple(rest)
         return "", 0
 
+    def peer_meta(self):
+        """What the root's own entry in the catalogue states for its peers."""
+        return {} if self.peers is None else {META: self.config.peers.address or self.peers.socket.name}
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled; started once every address listens and the roster was read."""
         try:
@@ -78,6 +84,8 @@
                 nursery.start_soon(self.front.run, listeners, nursery)
                 if self.peers is not None:
                     await nursery.start(self.peers.run)
+                if self.addresses_of_peers is not None:
+                    nursery.start_soon(self.addresses_of_peers.run)
                 if self.registrar is not None:
                     nursery.start_soon(self.registrar.run)
                 self.log.info("serving", addresses=self.addresses)
--- a/mothnotch/decisions/fleet/peers.py
+++ b/mothnotch/decisions/fleet/peers.py
@@ -136,6 +136,7 @@
         self.name, self.s, self.random, self.now = name, settings, random, now
         self.me = Claim(name, life, 0, ALIVE, address)
         self.seeds = {a: now for a in seeds if a != address}       # address -> when it is called next
+        self.told = frozenset()                # those of them that the catalogue named
         self.peers, self.lives = {}, {}        # held, by name; the last claim on names no longer held, oldest first
         self.round, self.probe, self.relays = [], None, {}         # relays: number -> (asker's address, its number, name, ends)
         self.queue = {}                        # (name) -> [claim, times it rode]
@@ -170,6 +171,18 @@
         peer = self.peers.get(name)
         return peer.claim.life if peer else self.lives[name].life if name in self.lives else None
 
+    def named(self, addresses, now):
+        """The catalogue names these addresses of roots: they are called until somebody answers there. What it named before
+        and does not now is left, unless it names nobody: then it is the catalogue that is in doubt. At most `most`."""
+        found = frozenset(sorted(set(addresses) - {self.me.address})[:self.s.most])
+        if not found:
+            return
+        for address in self.told - found:
+            del self.seeds[address]
+        self.told = frozenset(a for a in found if a in self.told or a not in self.seeds)
+        for address in self.told:
+            self.seeds.setdefault(address, now)
+
     def take_news(self):
         found, self.news = list(self.news), deque(maxlen=1024)
         return found
@@ -210,7 +223,8 @@
         self.run_out(now)
         for address, at in list(self.seeds.items()):
             if at <= now:
-                self.seeds[address] = now + self.s.call_us
+                # Of many that nobody answers from, as few are called a second as of eight.
+                self.seeds[address] = now + int(self.s.call_us * max(1.0, len(self.seeds) / 8))
                 if not any(p.claim.address == address and p.claim.state == ALIVE for p in self.peers.values()):
                     out.append(self.send(address, PING, "", self.next_number()))
         if now >= self.period_at:
--- a/mothnotch/decisions/fleet/talk.py
+++ b/mothnotch/decisions/fleet/talk.py
@@ -3,7 +3,12 @@
 Pure, as peers.py and facts.py, which it joins: envelopes and the clock in, envelopes out. A fact is taken with the
 bound on its message's age that the membership works out; the membership's lives go before those that facts state.
 
-Bounds: `room` bytes of facts an envelope, one digest a `digest_us`; a digest is answered by two envelopes at most.
+Where word in small pieces will not do, two roots tell each other all they hold (`Whole`, as memberlist's push and pull): when
+a root has found its first peer, when it was cut off or stood still, and every `whole_us`. Such a message answers a
+stamp of its receiver's, had a moment ago, so its facts have ages like any others, and a recorded one says nothing twice.
+
+Bounds: `room` bytes of facts an envelope, one digest a `digest_us`; a digest is answered by two envelopes at most; a whole
+holds as much as the tables, and one is asked for at a time, `again_us` after one that failed.
 """
 import math
 from dataclasses import dataclass
@@ -18,6 +23,9 @@
     digest_us: int = 1_000_000
     marks: int = 16                # of an envelope that came; more are not looked at
     facts: int = 64
+    whole_us: int = 30_000_000     # between exchanges of all that is held, at 30 roots; longer as the fleet grows
+    again_us: int = 2_000_000
+    whole_facts: int = 16_384      # of a whole that came; more are not looked at
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,12 +43,23 @@
     envelope: Envelope
 
 
+@dataclass(slots=True, frozen=True)
+class Whole:
+    """All that a root holds. `stamp`: its clock now; `answers`: the receiver's stamp that this answers, 0 for none."""
+    sender: membership.Claim
+    stamp: int
+    answers: int
+    claims: tuple[membership.Claim, ...] = ()
+    facts: tuple[Fact, ...] = ()
+
+
 class Talk:
     """One root's side. Gives `Send`s; `due` is when `tick` has to come at the latest."""
 
     def __init__(self, peers, facts, settings, random, now):
         self.peers, self.facts, self.s, self.random, self.digest_at = peers, facts, settings, random, now
-        self.life = peers.me.life
+        self.life, self.whole_at, self.lonely = peers.me.life, now, True
+        self.counts = {"wholes": 0, "wholes_refused": 0}
 
     def due(self):
         return min(self.peers.due(), self.digest_at if self.peers.peers else math.inf)
@@ -77,6 +96,52 @@
                 out.append(self.say(sender.name, now, facts=found))
         return out
 
+    # ---- all that is held ----
+
+    def partner(self, now):
+        """(name, address) of the root to exchange all with now, or None. Asking sets when the next one is due."""
+        others = [n for n, p in self.peers.peers.items() if p.claim.state == membership.ALIVE]
+        if not others:
+            self.lonely = True                     # whoever is found next may know what this root has missed
+            return None
+        if self.peers.alone or self.peers.doubtful:
+            self.lonely = True
+            return None                            # its links are in doubt: once they are not, it asks at once
+        if not self.lonely and now < self.whole_at:
+            return None
+        self.lonely, self.whole_at = False, now + int(self.s.whole_us * max(1.0, math.log2(1 + len(others) / 30)))
+        name = self.random.choice(others)
+        return name, self.peers.peers[name].claim.address
+
+    def unanswered(self, now):
+        """The exchange that was asked for came to nothing."""
+        self.whole_at = min(self.whole_at, now + self.s.again_us)
+
+    def whole(self, now, answers=0):
+        """All that this root holds, in answer to a stamp. Without one there are no facts: nothing would bound their age."""
+        found = ()
+        if answers:
+            found = tuple(fact for name, held in self.facts.origins.items() for key, entry in held.keys.items()
+                          if (fact := self.facts.fact(name, key, entry, now)).age_us < fact.span_us)
+        claims = tuple(p.claim for p in self.peers.peers.values())
+        return Whole(self.peers.me, now, answers, claims, found)
+
+    def merge(self, now, whole):
+        """Takes a whole; False for one of an old life, or of this root's own name."""
+        sender = whole.sender
+        known = self.peers.life_of(sender.name)
+        if sender.name == self.peers.name or sender.state != membership.ALIVE or known is not None and sender.life < known:
+            self.counts["wholes_refused"] += 1
+            return False
+        self.counts["wholes"] += 1
+        self.peers.now = now
+        for claim in (sender, *whole.claims[:self.peers.s.most]):
+            self.peers.claimed(claim, sender.name, now)
+        transit = now - whole.answers if 0 < whole.answers <= now else None
+        self.facts.follow(sender.name, sender.life)
+        self.facts.take(whole.facts[:self.s.whole_facts], transit, now, self.peers.life_of)
+        return True
+
     def say(self, name, now, **more):
         self.peers.now = now
         send = self.peers.send(self.peers.peers[name].claim.address, membership.SAY, name, 0)
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -1,8 +1,12 @@
 """The one seam to sockets and clocks: the whole program runs over it, on loopback or in memory.
 
 A `Network` opens and listens; addresses are text: `host:port`, `[v6]:port` or `unix:/path`. Time is trio's own
-(`trio.current_time`), so a virtual clock needs nothing here but the wall clock of the same run.
+(`trio.current_time`), so a virtual clock needs nothing here but the wall clock of the same run. Datagrams are had by
+`datagrams(address)`, which has `name`, `receive(most)`, `send(address, data)` and `close()`: sending takes no time, and
+what will not go is lost, as any datagram may be.
 """
+import heapq
+import itertools
 import socket
 import struct
 import time
@@ -33,6 +37,37 @@
     (stream.socket if hasattr(stream, "socket") else stream).close()
 
 
+class Datagrams:
+    """A UDP socket over IPv4."""
+
+    def __init__(self, sock):
+        self.sock = sock
+
+    @property
+    def name(self):
+        host, port = self.sock.getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def receive(self, most):
+        """(data, the sender's address)."""
+        while True:
+            try:
+                data, (host, port, *_) = await self.sock.recvfrom(most)
+                return data, f"{host}:{port}"
+            except ConnectionError:
+                pass                                   # word that nobody listens at an address written to before
+
+    def send(self, address, data):
+        try:
+            _, host, port = parse_address(address)
+            self.sock._sock.sendto(data, (host, port))
+        except (OSError, ValueError):
+            pass
+
+    def close(self):
+        self.sock.close()
+
+
 class SocketNetwork:
     """Real sockets, real time."""
 
@@ -43,12 +78,12 @@
         """Seconds of the wall clock."""
         return time.time()
 
-    async def open(self, address):
-        """A connected stream; OSError if none can be had. The caller bounds the wait."""
+    async def open(self, address, source=None):
+        """A connected stream; OSError if none can be had. The caller bounds the wait. `source`: the host to come from."""
         kind, *rest = parse_address(address)
         if kind == "unix":
             return await trio.open_unix_socket(rest[0])
-        return await trio.open_tcp_stream(*rest)
+        return await trio.open_tcp_stream(*rest, local_address=source)
 
     async def listen(self, address, backlog=1024):
         """A list of listeners, each with `accept`; port 0 picks one."""
@@ -60,6 +95,19 @@
             return [trio.SocketListener(sock)]
         return await trio.open_tcp_listeners(rest[1], host=rest[0], backlog=backlog)
 
+    async def datagrams(self, address):
+        """Datagrams at an address, host:port, over IPv4; port 0 picks one."""
+        kind, *rest = parse_address(address)
+        if kind != "tcp":
+            raise AddressError(f"address {address!r}: datagrams need HOST:PORT")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            await sock.bind((rest[0], rest[1]))
+        except OSError:
+            sock.close()
+            raise
+        return Datagrams(sock)
+
     def name(self, listener):
         """The address a listener really has."""
         found = listener.socket.getsockname()
@@ -213,19 +261,50 @@
     return a, b
 
 
+class MemoryDatagrams:
+    """In memory. At most `limit` wait; what comes then is lost."""
+
+    def __init__(self, network, name, limit=256):
+        self.network, self.name, self.limit, self.heap, self.order = network, name, limit, [], itertools.count()
+        self.changed = trio.Event()
+
+    def send(self, address, data):
+        target = self.network.boxes.get(address)
+        for delay in self.network.fate(self.name, address) if target is not None else ():
+            if len(target.heap) < target.limit:
+                heapq.heappush(target.heap, (trio.current_time() + delay, next(target.order), data, self.name))
+                target.changed.set()
+
+    async def receive(self, most):
+        await trio.lowlevel.checkpoint()
+        while not self.heap or self.heap[0][0] > trio.current_time():
+            self.changed = trio.Event()
+            with trio.move_on_at(self.heap[0][0] if self.heap else float("inf")):
+                await self.changed.wait()
+        _, _, data, address = heapq.heappop(self.heap)
+        return data[:most], address
+
+    def close(self):
+        if self.network.boxes.get(self.name) is self:
+            del self.network.boxes[self.name]
+
+
 class MemoryNetwork:
-    """Streams in memory, addresses as names: for the virtual clock. `started` is the wall clock's reading at 0."""
+    """Streams and datagrams in memory, addresses as names: for the virtual clock. `started` is the wall clock's reading at
+    0. `fate(from, to)` gives the delays, in seconds, with which copies of a datagram arrive; none: it is lost."""
 
     def __init__(self, started=1_800_000_000.0, backlog=1024):
         self.started, self.backlog, self.listeners, self.next_port = started, backlog, {}, 40000
+        self.boxes, self.fate = {}, lambda source, target: (0.0005,)
+        self.passes = lambda host, target: True    # whether a stream from a host, where one is named, comes up
         self.unreachable = set()           # addresses whose connects get no answer at all
 
     def wall(self):
         return self.started + trio.current_time()
 
-    async def open(self, address):
+    async def open(self, address, source=None):
         await trio.lowlevel.checkpoint()
-        if address in self.unreachable:
+        if address in self.unreachable or source is not None and not self.passes(source, address):
             await trio.sleep_forever()
         listener = self.listeners.get(address)
         if listener is None:
@@ -237,17 +316,28 @@
             raise ConnectionRefusedError(f"too many wait at {address}") from None
         return ours
 
-    async def listen(self, address, backlog=None):
-        await trio.lowlevel.checkpoint()
+    def free(self, address, used):
+        """The address, with a port of its own for port 0; OSError where it is used already."""
         host, _, port = address.rpartition(":")
         if port == "0":
             self.next_port += 1
             address = f"{host}:{self.next_port}"
-        if address in self.listeners:
+        if address in used:
             raise OSError(f"{address} is in use")
+        return address
+
+    async def listen(self, address, backlog=None):
+        await trio.lowlevel.checkpoint()
+        address = self.free(address, self.listeners)
         self.listeners[address] = MemoryListener(self, address)
         return [self.listeners[address]]
 
+    async def datagrams(self, address):
+        await trio.lowlevel.checkpoint()
+        address = self.free(address, self.boxes)
+        self.boxes[address] = MemoryDatagrams(self, address)
+        return self.boxes[address]
+
     def name(self, listener):
         return listener.address
 
--- a/mothnotch/peers/service.py
+++ b/mothnotch/peers/service.py
@@ -1,13 +1,20 @@
-"""The datagrams of a root's talk with the others, over the seam `post.py`. What is said stands in decisions/fleet/.
+"""A root's talk with the others: datagrams, and streams to the same address. What is said stands in decisions/fleet/.
 
 Bounds: datagrams of codec.MOST bytes; `intake` says how many a second are read for what they hold, so that a flood costs
-no more than taking them from the socket; one task reads and one keeps the time.
+no more than taking them from the socket; one task reads and one keeps the time. Of streams CALLERS are served at once,
+what comes beyond is closed; one exchange is under way from here at most.
 """
 import trio
 
 from mothnotch.decisions.fleet import facts, peers, talk
 from mothnotch.decisions.fleet.intake import Intake
-from mothnotch.peers.codec import MOST, Codec, Dropped
+from mothnotch.net import serve, shut
+from mothnotch.peers import exchange
+from mothnotch.peers.codec import MOST, Codec, Dropped, Fact, Seen, View, same
+
+CALLERS = 8
+SHOWN = 256                       # facts that a view names
+PORTS = 20                        # ports that are tried where any will do, until one is free for datagrams and streams
 
 
 def now_us():
@@ -17,27 +24,83 @@
 class Service:
     """`life`: (number, nonce) of this process; `seeds`: addresses that are called until somebody answers there."""
 
-    def __init__(self, post, log, name, life, listen, seeds, fleet, keys, random, settings=None):
-        self.post, self.log, self.name, self.life, self.listen = post, log, name, life, listen
+    def __init__(self, network, log, name, life, listen, seeds, fleet, keys, random, settings=None):
+        self.network, self.log, self.name, self.life, self.listen = network, log, name, life, listen
         self.seeds, self.codec, self.random = seeds, Codec(fleet, keys), random
         self.settings = settings or peers.Settings()
-        self.intake, self.dropped, self.sent, self.read = Intake(), {}, 0, 0
+        self.intake, self.dropped, self.sent, self.bytes, self.read = Intake(), {}, 0, 0, 0      # bytes: sent
         self.socket = self.talk = None
-        self.earlier = trio.Event()
+        self.earlier, self.calling, self.began = trio.Event(), False, now_us()
+        self.made = lambda talk: None              # told what it speaks with, before it does: for days with planted defects
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Runs until cancelled; started once it is bound."""
-        self.socket = await self.post.datagrams(self.listen)
+        self.socket, listeners = await self.bound()
         try:
             view = peers.Peers(self.name, self.life, self.socket.name, self.seeds, self.settings, self.random, now_us())
             book = facts.Facts(self.name, self.life, facts.Settings())
             self.talk = talk.Talk(view, book, talk.Settings(), self.random, now_us())
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.hear)
-                nursery.start_soon(self.keep_time)
+            self.made(self.talk)
+            async with trio.open_nursery() as self.nursery:
+                self.nursery.start_soon(self.hear)
+                self.nursery.start_soon(self.keep_time)
+                self.nursery.start_soon(serve, listeners, self.served, self.nursery, CALLERS, self.turned_away)
                 task_status.started(self)
         finally:
             self.socket.close()
+            with trio.CancelScope(shield=True):            # closing takes no time; it must not be left out
+                for listener in listeners:
+                    await listener.aclose()
+
+    async def bound(self):
+        """(datagrams, listeners) at one address."""
+        for _ in range(PORTS):
+            found = await self.network.datagrams(self.listen)
+            try:
+                return found, await self.network.listen(found.name)
+            except OSError:
+                found.close()
+                if not self.listen.endswith(":0"):
+                    raise
+        raise OSError(f"{self.listen}: no port is free for datagrams and streams")
+
+    # ---- streams ----
+
+    async def served(self, stream):
+        try:
+            await exchange.answer(stream, self.codec, self.talk, now_us, self.view)
+        except exchange.LOST as error:
+            self.drop(getattr(error, "why", "broken"))
+        self.told()
+
+    async def turned_away(self, stream):
+        self.drop("callers")
+        shut(stream)
+
+    async def call(self, name, address):
+        try:
+            await exchange.call(self.network, address, self.codec, self.talk, now_us, self.socket.name.rpartition(":")[0])
+        except exchange.LOST as error:
+            self.talk.unanswered(now_us())
+            self.drop(getattr(error, "why", "broken"))
+        finally:
+            self.calling = False
+        self.told()
+
+    def view(self, number):
+        """What this root believes, for operators."""
+        now, seen = now_us(), []
+        for b in self.beliefs():
+            held = self.talk.facts.origins.get(b.name)
+            ages = [e.age(now, self.talk.facts.s.drift) for e in held.keys.values()] if held else []
+            seen.append(Seen(b.name, b.life, b.state, b.address, -1 if b.heard_us is None else b.heard_us, b.since_us,
+                             b.direct, len(ages), max(ages, default=0)))
+        me, counts = self.talk.peers.me, {"sent": self.sent, "bytes": self.bytes, "read": self.read}
+        counts |= self.talk.peers.counts | self.talk.counts | {f"dropped {why}": n for why, n in self.dropped.items()}
+        return View(number, me.name, me.life, me.address, self.talk.peers.alone, now - self.began, seen, counts,
+                    [same(Fact, x) for x in self.talk.whole(now, now).facts[:SHOWN]])
+
+    # ---- datagrams ----
 
     async def hear(self):
         while True:
@@ -61,11 +124,18 @@
                 await self.earlier.wait()
             if now_us() >= self.talk.due():
                 self.carry(self.talk.tick(now_us()))
+            if not self.calling and (partner := self.talk.partner(now_us())) is not None:
+                self.calling = True
+                self.nursery.start_soon(self.call, *partner)
 
     def carry(self, sends):
         for send in sends:
-            self.sent += 1
-            self.socket.send(send.address, self.codec.encode(send.envelope))
+            data = self.codec.encode(send.envelope)
+            self.sent, self.bytes = self.sent + 1, self.bytes + len(data)
+            self.socket.send(send.address, data)
+        self.told()
+
+    def told(self):
         for news in self.talk.peers.take_news():
             self.log.info("peer", what=news.what, name=news.name, life=news.life)
 
@@ -81,6 +151,11 @@
         self.talk.facts.say(key, value, span_us, now_us())
         self.earlier.set()
 
+    def named(self, addresses):
+        """The catalogue names these addresses of roots."""
+        self.talk.peers.named(addresses, now_us())
+        self.earlier.set()
+
     def known(self, key):
         """{root: facts.Known} of what still counts."""
         return self.talk.facts.known(key, now_us())
--- a/mothnotch/studies/peers.py
+++ b/mothnotch/studies/peers.py
@@ -119,6 +119,36 @@
                 heapq.heappush(self.heap, (at, next(self.order), "message", target, (root.address, data)))
         self.news(root)
 
+    def exchange(self, root):
+        """An exchange of all that is held, as over a stream: what is lost there comes 200 ms later."""
+        partner = root.talk.partner(self.now)
+        if partner is None:
+            return
+        target = next((r for r in self.roots.values() if r.address == partner[1]), None)
+        links = self.both_ways(root, target) if target is not None else []
+        sound = target is not None and target.up and not target.paused and not any(link.cut for link in links)
+        late = sum(200_000 for _ in range(4) for link in links if self.random.random() < link.loss)
+        took = min(2 * SECOND, 2 * sum(link.delay_us for link in links) + late if sound else 2 * SECOND)
+        heapq.heappush(self.heap, (self.now + took, next(self.order), "whole", root, (took < 2 * SECOND, target, self.now)))
+
+    def both_ways(self, root, target):
+        return [self.links.get((a.name, b.name), self.link) for a, b in ((root, target), (target, root))]
+
+    def exchanged(self, root, done, target, began):
+        if not done or not target.up or target.paused or any(link.cut for link in self.both_ways(root, target)):
+            root.talk.unanswered(self.now)
+            return
+        hello = root.talk.whole(began)
+        if not target.talk.merge(self.now, hello):
+            return
+        ours = target.talk.whole(self.now, hello.stamp)
+        root.talk.merge(self.now, ours)
+        theirs = root.talk.whole(self.now, ours.stamp)
+        target.talk.merge(self.now, theirs)
+        self.sent, self.bytes = self.sent + 3, self.bytes + sum(len(root.codec.encode_whole(w)) for w in (hello, ours, theirs))
+        self.news(root)
+        self.news(target)
+
     def news(self, root):
         for news in root.peers.take_news():
             self.log.append((self.now, root.name, news))
@@ -140,8 +170,12 @@
                 if root.up and root.peers.me.life[1] == what:
                     if not root.paused:
                         self.carry(root, root.talk.tick(self.now))
+                        self.exchange(root)
                     heapq.heappush(self.heap, (max(self.now + 1, int(root.talk.due()) + 1 if not root.paused
                                                    else self.now + 100_000), next(self.order), "wake", root, what))
+            elif kind == "whole":
+                if root.up and not root.paused:
+                    self.exchanged(root, *what)
             elif root.up and root.paused:
                 if len(root.inbox) < 1000:          # as a socket's buffer does
                     root.inbox.append(what)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -37,7 +37,9 @@
     ({"peers": {**PEERS, "seeds": ["a:1", "b"]}}, "peers.seeds[1]"),
     ({"peers": {**PEERS, "keys": ["short"]}}, "peers.keys"), ({"peers": {**PEERS, "keys": []}}, "peers.keys"),
     ({"peers": {**PEERS, "name": ""}}, "peers.name"), ({"peers": {**PEERS, "fleet": ""}}, "peers.fleet"),
-    ({"peers": {**PEERS, "period_ms": 1}}, "peers.period_ms"),
+    ({"peers": {**PEERS, "period_ms": 1}}, "peers.period_ms"), ({"peers": {**PEERS, "address": "x"}}, "peers.address"),
+    ({"peers": {**PEERS, "listen": "0.0.0.0:7400"}, "roster": None,
+      "consul": {"agents": ["a:1"], "service": "s", "register": {}}}, "peers.address"),
     ({"root": {"roots": 2, "me": 2}}, "root.me"), ({"rules": {"budget_share": 0.1}}, "rules.budget_window_s"),
 ])
 def test_every_error_names_its_path(changes, named):
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -253,6 +253,35 @@
     play(test, held=held)
 
 
+def test_roots_find_their_peers_in_the_catalogue_and_leave_what_it_does_not_name_any_more():
+    async def test(world):
+        def peers(n):
+            return {"name": f"r{n}", "listen": f"root-{n}:0", "fleet": "f", "keys": ["a key of these tests"]}
+
+        async with trio.open_nursery() as nursery:
+            roots = []
+            for n in range(3):
+                conf = demo.config(roster=None, peers=peers(n), root={"roots": 3, "me": n}, consul={
+                    "agents": [a.address for a in world.agents], "service": SERVICE, "register": {"ttl_s": 3}})
+                roots.append(Root(conf, world.network, logs.silent(), seed=1, random=random.Random(n).randbytes))
+                await nursery.start(roots[-1].run)
+            def together():
+                return all(sum(b.state == "alive" for b in r.peers.beliefs()) == 2 for r in roots)
+
+            with trio.fail_after(30):
+                while not together():
+                    await trio.sleep(0.1)
+            for agent in world.agents:
+                agent.stop()                                # the catalogue is needed for addresses alone
+            await trio.sleep(30)
+            assert together()
+            views = [root.peers.talk.peers for root in roots]
+            assert all(view.told <= set(view.seeds) for view in views) and sum(len(view.told) for view in views) >= 2
+            nursery.cancel_scope.cancel()
+
+    play(test)
+
+
 def test_root_registers_beats_comes_back_where_it_was_forgotten_and_leaves_nothing_behind():
     def roots(world):
         return [s for s in world.catalogue.services.values() if s["Service"] == "mothnotch"]
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mothnotch.decisions.fleet import facts, peers, talk
+from mothnotch.decisions.fleet import views as views_of
 from mothnotch.peers import codec
 from mothnotch.studies.peers import KEY, SECOND, Link, joined
 
@@ -362,7 +363,7 @@
 def test_a_body_with_a_sound_tag_that_cannot_be_read_is_dropped(body):
     one = codec.Codec("f", [OLD])
     with pytest.raises(codec.Dropped) as dropped:
-        one.decode(one.start + one.tag(OLD, body) + body)
+        one.decode(one.sealed(codec.MAGIC, body))
     assert dropped.value.why == "form"
 
 
@@ -384,9 +385,9 @@
     one = codec.Codec("f", [OLD])
     body = codec.msgspec.msgpack.decode(one.encode(envelope())[codec.HEAD:])
     newer = codec.pack([*body, {"new": 1}, 9])
-    assert one.decode(one.start + one.tag(OLD, newer) + newer) == envelope()
+    assert one.decode(one.sealed(codec.MAGIC, newer)) == envelope()
     older = codec.pack(body[:9])                     # of before there were facts
-    assert one.decode(one.start + one.tag(OLD, older) + older).facts == ()
+    assert one.decode(one.sealed(codec.MAGIC, older)).facts == ()
 
 
 def test_a_datagram_holds_what_fits_and_facts_go_first():
@@ -456,3 +457,53 @@
     assert fleet.until(lambda: holders(fleet, b"old") == set(), 30 * SECOND) < 10 * SECOND
     fleet.step(fleet.now + 30 * SECOND)
     assert holders(fleet, b"old") == set()
+
+
+def test_the_catalogue_names_addresses_and_what_it_leaves_out_is_called_no_more():
+    view = peers.Peers("a", (1, 1), "a:1", ["s:1"], peers.Settings(), random.Random(1), 0)
+    view.named(["a:1", "b:1", "c:1"], 0)
+    assert set(view.seeds) == {"s:1", "b:1", "c:1"}
+    view.named([], 10)                                       # it names nobody: it is in doubt itself
+    assert set(view.seeds) == {"s:1", "b:1", "c:1"}
+    view.named(["c:1", "s:1"], 20)
+    assert set(view.seeds) == {"s:1", "c:1"}
+    view.named(["d:1"], 30)
+    assert set(view.seeds) == {"s:1", "d:1"}                 # one of the configuration's own stays
+    view.named([f"x{n}:1" for n in range(1000)], 40)
+    assert len(view.seeds) == 1 + view.s.most
+
+
+class Seen:
+    def __init__(self, name, life=1, state="alive", peers=()):
+        self.name, self.life, self.state, self.peers = name, (life, 0), state, peers
+
+
+@pytest.mark.parametrize("views, said", [
+    ([Seen("a", peers=[Seen("b")]), Seen("b", peers=[Seen("a")])], []),
+    ([Seen("a"), Seen("b", peers=[Seen("a")])], ["a does not know b"]),
+    ([Seen("a", peers=[Seen("b", 1)]), Seen("b", 2, peers=[Seen("a")])], ["a holds b in life 1, and it is in 2"]),
+    ([Seen("a", peers=[Seen("b", state="gone")]), Seen("b", peers=[Seen("a")])], ["a holds b for gone, and it answers"]),
+    ([Seen("a", 1), Seen("a", 2)], ["2 roots run under the name a"]),
+    ([Seen("a", peers=[Seen("b"), Seen("c")]), Seen("b", peers=[Seen("a"), Seen("c", state="gone")])],
+     ["c does not answer: a holds it for alive, b holds it for gone"])])
+def test_disagreements_are_named(views, said):
+    found = views_of.disagreements(views)
+    assert len(found) == len(said) and all(s in f for s, f in zip(said, found, strict=True))
+
+
+def test_a_virtual_fleet_that_was_cut_in_half_is_one_again_sooner_by_whole_exchanges():
+    """Facts of many roots that changed on both sides of a cut: digests name sixteen origins a second."""
+    fleet, _ = joined(30, 4)
+    half = list(fleet.roots)[:15]
+    fleet.cut(half)
+    fleet.step(fleet.now + 20 * SECOND)
+    for root in fleet.roots.values():
+        for key in range(10):
+            root.facts.say(f"k{key}", bytes(150), 300 * SECOND, fleet.now)
+    fleet.step(fleet.now + 5 * SECOND)
+    fleet.cut(half, on=False)
+    def all_know():
+        return all(len(r.facts.known("k0", fleet.now)) == len(r.facts.known("k9", fleet.now)) == 30
+                   for r in fleet.roots.values())
+    assert fleet.until(all_know, 60 * SECOND) < 40 * SECOND
+    assert sum(r.talk.counts["wholes"] for r in fleet.roots.values()) >= 30
--- a/tests/test_peers_service.py
+++ b/tests/test_peers_service.py
@@ -5,10 +5,11 @@
 import trio
 import trio.testing
 
-from mothnotch import net, post
+from mothnotch import net
 from mothnotch.decisions.fleet import peers
+from mothnotch.peers import exchange
 from mothnotch.peers.codec import Codec
-from mothnotch.peers.service import Service
+from mothnotch.peers.service import Service, now_us
 from tests.virtual import play
 
 KEY = b"a key of these tests"
@@ -47,7 +48,7 @@
 
 def test_roots_in_memory_find_each_other_pass_facts_on_and_miss_one_that_ends():
     async def main():
-        network, drawn = post.MemoryPost(), random.Random(1)
+        network, drawn = net.MemoryNetwork(), random.Random(1)
         network.fate = lambda a, b: () if drawn.random() < 0.2 else (drawn.random() * 0.05,) * (1 + (drawn.random() < 0.1))
         roots = [service(network, n, ["root:100"]) for n in range(5)]
         async with trio.open_nursery() as nursery:
@@ -73,7 +74,7 @@
 
 def test_noise_and_a_flood_on_the_port_are_counted_and_believed_in_nothing():
     async def main():
-        network = post.MemoryPost()
+        network = net.MemoryNetwork()
         one, stranger = service(network, 1, []), service(network, 2, ["root:101"], key=b"some other fleet's key")
         async with trio.open_nursery() as nursery:
             await nursery.start(one.run)
@@ -91,9 +92,97 @@
     virtual(main)
 
 
+def test_a_late_comer_gets_all_at_once_over_a_stream_with_ages_that_hold():
+    """Envelopes carry 700 bytes of facts: all that 12 roots with 40 facts each say would take minutes by them."""
+    async def main():
+        network = net.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            roots = [await nursery.start(service(network, n, ["root:100"]).run) for n in range(12)]
+            for root in roots:
+                for key in range(40):
+                    root.say(f"k{key}", b"x" * 200, 300_000_000)
+            await trio.sleep(100)
+            late = await nursery.start(service(network, 50, ["root:100"]).run)
+            started = trio.current_time()
+            await until(lambda: len(alive(late)) == 12, 5)
+            await until(lambda: sum(len(late.known(f"k{n}")) for n in range(40)) == 480, 5)
+            ages = [f.age_us / 1e6 for n in range(40) for f in late.known(f"k{n}").values()]
+            spent = trio.current_time() - started
+            assert 100 <= min(ages) and max(ages) <= (100 + spent) * 1.05 + 1     # the drift of two hops
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+
+
+def test_an_exchange_recorded_earlier_brings_nothing():
+    """Guards against facts made young again: a whole counts only in answer to a stamp of this exchange."""
+    async def main():
+        network = net.MemoryNetwork()
+        one, other = service(network, 1, []), service(network, 2, [])
+        async with trio.open_nursery() as nursery:
+            await nursery.start(one.run)
+            await nursery.start(other.run)
+            other.say("demand", b"old", 60_000_000)
+            talk, code = other.talk, other.codec
+            recorded = code.encode_whole(talk.whole(now_us(), answers=now_us() - 1))      # as it went to somebody, once
+            await trio.sleep(20)
+            stream = await network.open("root:101")
+            await exchange.put(stream, code.encode_whole(talk.whole(now_us())))
+            await exchange.take(stream)
+            await exchange.put(stream, recorded)
+            await trio.sleep(0.1)
+            assert one.dropped["stamp"] == 1
+            # By datagrams it hears of the fact by now, with the age that it has.
+            assert all(known.age_us >= 20_000_000 for known in one.known("demand").values())
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+
+
+@pytest.mark.parametrize("data, why", [
+    (b"\xff\xff\xff\xff" + bytes(100), "long"), (b"\x05\0\0\0GET /", "short"),
+    (b"\x50\0\0\0" + b"GET / HTTP/1.1\r\n" * 5, "stranger"), (b"\x50\0\0\0abc", "broken"), (b"", "broken")])
+def test_noise_on_the_stream_is_counted_and_costs_no_more_than_its_time(data, why):
+    async def main():
+        network = net.MemoryNetwork()
+        one = service(network, 1, [])
+        async with trio.open_nursery() as nursery:
+            await nursery.start(one.run)
+            streams = [await network.open("root:101") for _ in range(30)]
+            await trio.sleep(0.1)
+            assert one.dropped["callers"] == 22
+            await streams[0].send_all(data)
+            await streams[0].send_eof()
+            await trio.sleep(0.1)
+            assert one.dropped[why] == 1
+            await trio.sleep(5)                        # the rest said nothing in their time
+            assert one.dropped["broken"] == 7 + (why == "broken") and one.beliefs() == []
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+
+
+def test_a_view_names_what_a_root_believes_and_how_old_that_is():
+    async def main():
+        network = net.MemoryNetwork()
+        async with trio.open_nursery() as nursery:
+            roots = [await nursery.start(service(network, n, ["root:100"]).run) for n in range(3)]
+            await until(lambda: all(len(alive(r)) == 2 for r in roots), 10)
+            roots[1].say("demand", b"1", 60_000_000)
+            await until(lambda: roots[2].known("demand"), 10)
+            view = await exchange.ask(network, "root:102", roots[0].codec, 7)
+            assert view.name == "r2" and [(s.name, s.state) for s in view.peers] == [("r0", "alive"), ("r1", "alive")]
+            assert view.peers[1].facts == 1 and 0 <= view.peers[1].oldest_us < 10_000_000
+            with pytest.raises(exchange.LOST):
+                await exchange.ask(network, "root:102", Codec("f", [b"another key, 16 bytes"]), 7)
+            nursery.cancel_scope.cancel()
+
+    virtual(main)
+
+
 def test_roots_on_loopback_find_each_other():
     async def main():
-        network = post.SocketPost()
+        network = net.SocketNetwork()
         async with trio.open_nursery() as nursery:
             first = await nursery.start(service(network, 0, [], "127.0.0.1").run)
             others = [await nursery.start(service(network, n, [first.socket.name], "127.0.0.1").run) for n in (1, 2)]
@@ -108,8 +197,8 @@
 def test_datagrams_need_an_address_of_their_kind():
     async def main():
         with pytest.raises(net.AddressError):
-            await post.SocketPost().datagrams("unix:/tmp/x")
-        network = post.MemoryPost()
+            await net.SocketNetwork().datagrams("unix:/tmp/x")
+        network = net.MemoryNetwork()
         await network.datagrams("a:1")
         with pytest.raises(OSError):
             await network.datagrams("a:1")
@@ -118,11 +207,9 @@
 
 
 def test_a_root_that_serves_speaks_with_its_peers():
-    office = post.MemoryPost()
-
     async def test(world):
-        other = service(office, 9, ["peer:1"])
+        other = service(world.network, 9, ["peer:1"])
         await world.nursery.start(other.run)
         await until(lambda: alive(other) == {"a"} and alive(world.root.peers) == {"r9"}, 10)
 
-    play(test, {"peers": {"name": "a", "listen": "peer:1", "fleet": "f", "keys": [KEY.decode()]}}, post=office)
+    play(test, {"peers": {"name": "a", "listen": "peer:1", "fleet": "f", "keys": [KEY.decode()]}})
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -29,7 +29,7 @@
         self.roster.text = demo.roster_text(self.fleet)
 
 
-def play(test, changes=None, post=None, **options):
+def play(test, changes=None, **options):
     """Runs `await test(world)` with a root on the demo's configuration, on a clock that costs no time."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(1)
@@ -43,7 +43,7 @@
             await world.fleet.start()
             world.roster = MemoryRoster(demo.roster_text(world.fleet))
             world.root = Root(demo.config(**(changes or {})), world.network, logs.silent(), world.roster, seed=1,
-                              random=random.Random(1).randbytes, post=post)
+                              random=random.Random(1).randbytes)
             await nursery.start(world.root.run)
             await test(world)
             nursery.cancel_scope.cancel()
