--- a/mothnotch/audit/peers.py
+++ b/mothnotch/audit/peers.py
@@ -150,17 +150,16 @@
 
 def figures(record):
     """{name: seconds} of the day's last line: the longest until the first, and until all, held a dead root for gone."""
-    first = last = 0.0
+    first, last = [0.0], [0.0]
     for n, begin, end in record.down:
-        for told in record.views:
-            if told.root != n and begin < told.at < end and not overlaps(spans_of(record, told.root), begin, told.at):
-                gone = all(p.state == "gone" for p in told.view.peers if p.name == record.names[n])
-                if not gone:
-                    last = max(last, told.at - begin)
-        times = [told.at - begin for told in record.views if begin < told.at < end and told.root != n
-                 and any(p.name == record.names[n] and p.state == "gone" for p in told.view.peers)]
-        first = max(first, min(times, default=0.0))
-    return {"first_gone_s": first, "all_gone_s": last}
+        found = {}                                   # viewer -> when it was first seen to hold it for gone
+        for told in sorted(record.views, key=lambda t: t.at):
+            if told.root != n and begin < told.asked and told.at < end and any(
+                    p.name == record.names[n] and p.state == "gone" for p in told.view.peers):
+                found.setdefault(told.root, told.at - begin)
+        first += [min(found.values())] if found else []
+        last += [max(found.values())] if found else []
+    return {"first_gone_s": max(first), "all_gone_s": max(last)}
 
 
 def judge(record):
--- a/mothnotch/badday/fleet.py
+++ b/mothnotch/badday/fleet.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import trio
@@ -42,10 +43,10 @@
             "period_ms": script.peers.period_ms}
 
 
-async def chatter(root, wall):
+async def chatter(root, clock):
     """States a fact each second whose value is when it was said, so that its age can be checked from outside."""
     while True:
-        root.peers.say("day", f"{wall():.6f}".encode(), FACT_SPAN_US)
+        root.peers.say("day", f"{clock():.6f}".encode(), FACT_SPAN_US)
         await trio.sleep(1)
 
 
@@ -63,9 +64,9 @@
         self.bytes = {}                                # root -> (datagrams sent, read) as it last said
         runner.day = self
 
-    def wall(self):
-        """The clock that roots stamp their facts by, and the record's."""
-        return self.network.wall()
+    def clock(self):
+        """The clock that roots stamp their facts by, and the record's: no wall clock, which may be set meanwhile."""
+        return self.runner.clock()
 
     def pick(self):
         """Clients come to roots that run, as a balancer in front sends them."""
@@ -73,7 +74,7 @@
         return self.random.choice(up) if up else super().pick()
 
     async def run(self, ask, client):
-        begun, asked_of = self.wall(), self.runner.lives[ask.root]
+        begun, asked_of = self.clock(), self.runner.lives[ask.root]
         await super().run(ask, client)
         if not self.up[ask.root] or self.runner.lives[ask.root] != asked_of:
             self.leave_client(client, ask.root)        # it was put back for the next ask while the root went
@@ -88,11 +89,11 @@
 
     def mark(self, spans, *key):
         """Begins a span of the record; gives what ends it."""
-        spans.append((*key, self.wall(), float("inf")))
+        spans.append((*key, self.clock(), float("inf")))
 
         def ended():
             at = next(i for i in range(len(spans) - 1, -1, -1) if spans[i][:len(key)] == key and spans[i][-1] == float("inf"))
-            spans[at] = (*spans[at][:-1], self.wall())
+            spans[at] = (*spans[at][:-1], self.clock())
 
         return ended
 
@@ -152,7 +153,7 @@
         for _, link in found:
             for name in changes:
                 setattr(link, name, getattr(Link(), name))
-        await trio.sleep(2 * t.ms / 1000)              # until the last of it has come
+        await trio.sleep(changes.get("delay_s", 0.0) + changes.get("jitter_s", 0.0) + changes.get("late_s", 0.0))
         for over in ended:
             over()
 
@@ -166,7 +167,8 @@
         await self.on_links(t, True, loss=t.share)
 
     async def do_link_twice(self, t, names):
-        await self.on_links(t, True, twice=t.share)
+        """Second copies, up to `ms` late: long after a life has ended, its word comes again."""
+        await self.on_links(t, True, twice=t.share, late_s=t.ms / 1000)
 
     async def do_link_delay(self, t, names):
         """Of what these roots say, not of what they hear."""
@@ -181,13 +183,13 @@
             if not self.up[n]:
                 continue
             self.look += 1
-            asked, life = self.wall(), self.runner.lives[n]
+            asked, life = self.clock(), self.runner.lives[n]
             try:
                 view = await exchange.ask(self.network, self.runner.targets[n], self.codec, self.look)
             except exchange.LOST:
                 continue
             if self.up[n] and self.runner.lives[n] == life:
-                self.peers.views.append(Told(n, asked, self.wall(), view))
+                self.peers.views.append(Told(n, asked, self.clock(), view))
 
     async def run_day(self, start_roots=None):
         await super().run_day(self.start_roots)
@@ -223,6 +225,8 @@
 class InMemory(Runner):
     """Roots in this process, on the network and clock of the day."""
 
+    clock = staticmethod(trio.current_time)
+
     def __init__(self, script, breach):
         super().__init__(script, breach)
         self.scopes, self.sources, self.paused = {}, {}, {}
@@ -258,7 +262,7 @@
             with trio.CancelScope() as self.scopes[n]:
                 async with trio.open_nursery() as nursery:
                     await nursery.start(root.run)
-                    nursery.start_soon(chatter, root, self.day.wall)
+                    nursery.start_soon(chatter, root, self.day.clock)
                     task_status.started()
 
         await self.nursery.start(life)
@@ -280,6 +284,8 @@
 class Processes(Runner):
     """Each root a process, the relays in this one. Only processes started here are signalled, by their id."""
 
+    clock = staticmethod(time.monotonic)           # one for all processes of a machine
+
     def __init__(self, script, breach, folder):
         super().__init__(script, breach)
         self.folder, self.processes = Path(folder), {}
--- a/mothnotch/badday/links.py
+++ b/mothnotch/badday/links.py
@@ -21,11 +21,13 @@
 
 @dataclass(slots=True)
 class Link:
-    """What happens on it. `silent`: streams that stand say nothing more, and new ones do not come up."""
+    """What happens on it. A datagram's second copy comes up to `late_s` after the first. Where it is cut, streams that stand
+    say nothing more, and new ones do not come up."""
     loss: float = 0.0
     delay_s: float = 0.0
     jitter_s: float = 0.0
     twice: float = 0.0
+    late_s: float = 0.0
     cut: bool = False
 
 
@@ -49,7 +51,8 @@
             self.lost += 1
             return ()
         self.passed += 1
-        return tuple(0.0005 + link.delay_s + r.random() * link.jitter_s for _ in range(1 + (r.random() < link.twice)))
+        first = 0.0005 + link.delay_s + r.random() * link.jitter_s
+        return (first, first + r.random() * link.late_s) if r.random() < link.twice else (first,)
 
     # ---- in memory ----
 
--- a/mothnotch/badday/root.py
+++ b/mothnotch/badday/root.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 
 import trio
 
@@ -31,7 +32,7 @@
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
             await nursery.start(root.run)
-            nursery.start_soon(chatter, root, network.wall)
+            nursery.start_soon(chatter, root, time.monotonic)
             nursery.start_soon(orphaned, nursery.cancel_scope, parent)
             print(f"serving postgresql://{root.addresses[0]}", flush=True)
             async for _ in signals:
--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -208,14 +208,14 @@
         TroubleScript("shared_slow", 16.0, 2.0, 8, 2.0), TroubleScript("vanish", 16.5, 2.0, ["leaf-1"]),
     ])
 
-# Roots together: kills, pauses, one-way cuts, loss, and word of an old life that comes seconds after the new one's.
+# Roots together: kills, pauses, one-way cuts, loss, and word of an old life that comes again seconds after it ended.
 PEERS = Script(
     seconds=32.0, roots=4, load=Load(rate=16.0), peers=PeersScript(),
     troubles=[
         TroubleScript("root_kill", 3.0, 9.0, roots=[1]), TroubleScript("link_loss", 4.0, 5.0, roots=[0, 1, 2, 3], share=0.2),
         TroubleScript("root_pause", 13.0, 4.0, roots=[2]), TroubleScript("link_oneway", 15.0, 4.0, roots=[0], to=[3]),
-        TroubleScript("link_delay", 20.0, 2.0, roots=[1], ms=1200.0), TroubleScript("root_restart", 21.0, 0.5, roots=[1]),
-        TroubleScript("link_twice", 20.0, 6.0, roots=[0, 1, 2, 3], share=0.5),
+        TroubleScript("link_twice", 18.0, 4.0, roots=[0, 1, 2, 3], share=0.7, ms=5000.0),
+        TroubleScript("link_delay", 19.0, 3.0, roots=[1], ms=50.0), TroubleScript("root_restart", 20.0, 0.5, roots=[1]),
     ])
 FLEET_DAYS = {"peers": PEERS}
 BREACHES = {"peers": ("old_life", "young_facts", "never_gone", "hasty")}
