--- a/mothnotch/audit/breaches.py
+++ b/mothnotch/audit/breaches.py
@@ -9,7 +9,7 @@
 
 
 def plant(name, root):
-    """Breaks a root that has not started."""
+    """Breaks a root that has not started, or leaves out a part of it (`without_PART`)."""
     if name:
         ROOTS.get(name, lambda root: None)(root)
 
@@ -174,5 +174,18 @@
     root.peers.made = made
 
 
+def without_health(root):
+    """Lifeguard's local health is off: a root does not doubt itself."""
+    root.peers.settings = dataclasses.replace(root.peers.settings, health=False)
+
+
+def without_streams(root):
+    """Nothing is exchanged over streams: what roots know of each other comes by datagrams alone."""
+    def made(talk):
+        talk.partner = lambda now: None
+
+    root.peers.made = made
+
+
 ROOTS = {f.__name__: f for f in (late_sends, ignores_drains, late_news, half_as_whole, many_attempts, no_cold, silent, double,
-                             old_life, young_facts, never_gone, hasty)}
+                             old_life, young_facts, never_gone, hasty, without_health, without_streams)}
--- a/mothnotch/badday/fleet.py
+++ b/mothnotch/badday/fleet.py
@@ -6,6 +6,7 @@
 virtual clock. There a pause holds back all that a root says and hears; its own clock goes on, which a stopped process's
 does not.
 """
+import dataclasses
 import json
 import random
 import signal
@@ -13,6 +14,7 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -21,7 +23,8 @@
 from mothnotch import demo, logs, net
 from mothnotch.audit import breaches
 from mothnotch.audit.peers import PeersRecord, Told
-from mothnotch.badday.links import Link, Links, Relays
+from mothnotch.audit.rules import id_of
+from mothnotch.badday.links import LeafRelays, Link, Links, Relays
 from mothnotch.badday.play import Day, configuration
 from mothnotch.daemon import Root
 from mothnotch.peers import exchange
@@ -174,6 +177,36 @@
         """Of what these roots say, not of what they hear."""
         await self.on_links(t, False, delay_s=t.ms / 1000, jitter_s=t.ms / 1000)
 
+    async def on_leaf_links(self, t, names, links, **changes):
+        found = [side[n, name] for side in links for n in t.roots for name in names]
+        for link in found:
+            for name, value in changes.items():
+                setattr(link, name, value)
+        await trio.sleep(t.lasts)
+        for link in found:
+            for name in changes:
+                setattr(link, name, getattr(Link(), name))
+
+    async def do_leaf_cut(self, t, names):
+        """Silence between these roots and these leaves, both ways, and no reset."""
+        await self.on_leaf_links(t, names, (self.leaf_links.there, self.leaf_links.back), cut=True)
+
+    async def do_leaf_oneway(self, t, names):
+        """The leaves hear and do what is asked; no answer comes."""
+        await self.on_leaf_links(t, names, (self.leaf_links.back,), cut=True)
+
+    async def do_leaf_delay(self, t, names):
+        await self.on_leaf_links(t, names, (self.leaf_links.back,), delay_s=t.ms / 1000, jitter_s=t.ms / 1000)
+
+    async def do_leaf_reset(self, t, names):
+        """Each connection is reset twice a second."""
+        end = trio.current_time() + t.lasts
+        while trio.current_time() < end:
+            for n in t.roots:
+                for name in names:
+                    self.leaf_links.streams.reset((n, name))
+            await trio.sleep(0.5)
+
     # ---- what the roots believe ----
 
     async def watch(self, n):
@@ -193,10 +226,19 @@
 
     async def run_day(self, start_roots=None):
         await super().run_day(self.start_roots)
+        # The rules are about what roots send: what a link held back counts from when it came there.
+        roots = {ask.id: ask.root for ask in self.record.asks}
+        for n, seen in enumerate(self.record.seen):
+            if seen.what == "arrived" and id_of(seen) in roots:
+                at = self.leaf_links.streams.sent((roots[id_of(seen)], seen.leaf), seen.at)
+                if at != seen.at:
+                    self.record.seen[n] = dataclasses.replace(seen, at=at)
         return self.record
 
     async def start_roots(self, day, life):
         self.life, begun = life, self.mark(self.peers.worse)
+        self.leaf_links = LeafRelays(self.network, self.script.roots, self.fleet.leaves, self.seed, "127.0.0.1")
+        await life.start(self.leaf_links.run)
         await self.runner.begin(life)
         for n in range(self.script.roots):
             await self.runner.start(n)
@@ -245,8 +287,9 @@
         self.day.network.passes = lambda host, target: passes(host, target) and not any(
             links.numbers.get(a.partition(":")[0]) in self.paused for a in (host, target))
         for n in range(self.script.roots):
-            self.sources[n] = MemoryRoster(demo.roster_text(self.day.fleet))
-            self.day.rosters.append(lambda text, n=n: setattr(self.sources[n], "text", text))
+            via = partial(self.day.leaf_links.roster, n)
+            self.sources[n] = MemoryRoster(via(demo.roster_text(self.day.fleet)))
+            self.day.rosters.append(lambda text, n=n, via=via: setattr(self.sources[n], "text", via(text)))
             self.targets[n] = f"{root_host(n)}:7400"
 
     async def start(self, n):
@@ -300,9 +343,9 @@
         for n in range(self.script.roots):
             roster = self.folder / f"roster-{n}.json5"
 
-            def write(text, roster=roster):
+            def write(text, roster=roster, n=n):
                 whole = roster.with_suffix(".new")
-                whole.write_text(text)
+                whole.write_text(self.day.leaf_links.roster(n, text))
                 whole.rename(roster)
 
             write(demo.roster_text(self.day.fleet))
--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -16,8 +16,10 @@
                 "consul_crash", "consul_wipe", "health_flapping", "depart")
 
 
-# Troubles of the roots and of the links between them, for days with `peers`. `roots` names them, `to` whom they reach.
-FLEET_KINDS = ("root_kill", "root_restart", "root_pause", "link_cut", "link_oneway", "link_loss", "link_delay", "link_twice")
+# Troubles of the roots, of the links between them, and of theirs to `leaves`, for days with `peers`. `roots` names the roots,
+# `to` whom they reach.
+FLEET_KINDS = ("root_kill", "root_restart", "root_pause", "link_cut", "link_oneway", "link_loss", "link_delay", "link_twice",
+               "leaf_cut", "leaf_oneway", "leaf_delay", "leaf_reset")
 
 
 class PeersScript(Strict):
@@ -87,7 +89,8 @@
     peers: PeersScript | None = None
     troubles: list[TroubleScript] = []
     breach: Literal["", "late_sends", "keys_dropped", "ignores_drains", "half_as_whole", "many_attempts", "no_cold",
-                    "silent", "double", "late_news", "old_life", "young_facts", "never_gone", "hasty"] = ""
+                    "silent", "double", "late_news", "old_life", "young_facts", "never_gone", "hasty", "without_health",
+                    "without_streams"] = ""
 
 
 def load(text, path="script"):
@@ -213,9 +216,12 @@
     seconds=32.0, roots=4, load=Load(rate=16.0), peers=PeersScript(),
     troubles=[
         TroubleScript("root_kill", 3.0, 9.0, roots=[1]), TroubleScript("link_loss", 4.0, 5.0, roots=[0, 1, 2, 3], share=0.2),
+        TroubleScript("leaf_cut", 6.0, 3.0, 2, roots=[3]), TroubleScript("leaf_reset", 10.0, 2.0, 8, roots=[0]),
+        TroubleScript("leaf_oneway", 22.0, 3.0, 1, roots=[2, 3]),
         TroubleScript("root_pause", 13.0, 4.0, roots=[2]), TroubleScript("link_oneway", 15.0, 4.0, roots=[0], to=[3]),
         TroubleScript("link_twice", 18.0, 4.0, roots=[0, 1, 2, 3], share=0.7, ms=5000.0),
         TroubleScript("link_delay", 19.0, 3.0, roots=[1], ms=50.0), TroubleScript("root_restart", 20.0, 0.5, roots=[1]),
     ])
 FLEET_DAYS = {"peers": PEERS}
+PARTS = {"peers": ("health", "streams")}     # what a day can be played without
 BREACHES = {"peers": ("old_life", "young_facts", "never_gone", "hasty")}
--- a/mothnotch/cli.py
+++ b/mothnotch/cli.py
@@ -227,13 +227,14 @@
 
 
 @app.command
-def fleetday(day: str, *, seed: int = 1, virtual: bool = False, breach: str = "", json_file: Annotated[
+def fleetday(day: str, *, seed: int = 1, virtual: bool = False, breach: str = "", without: str = "", json_file: Annotated[
         Path | None, cyclopts.Parameter(name="--json")] = None):
     """Play a day of roots that speak with one another, with faults between them; status 1 if a rule or a bound broke.
 
     DAY is the name of one that comes with the program (peers), or a script. Over sockets each root is a process, with a
     relay on every link between two; --virtual plays the same in memory. --breach NAME plants a defect, which the day has
-    to catch; --breach list prints those it has. --json FILE keeps the verdicts and figures.
+    to catch; --breach list prints those it has. --without PART (health, streams) leaves a part out. --json FILE keeps the
+    verdicts and figures.
     """
     from mothnotch.audit import peers as beliefs
     from mothnotch.audit.rules import judge, service
@@ -253,7 +254,10 @@
         return
     if breach and breach not in known:
         failed([f"--breach {breach}: this day catches {', '.join(known)}"])
-    found = msgspec.structs.replace(found, breach=breach)
+    parts = scripts.PARTS.get(day, scripts.PARTS["peers"])
+    if without and (without not in parts or breach):
+        failed([f"--without {without}: this day can be played without {', '.join(parts)}, and with no breach beside"])
+    found = msgspec.structs.replace(found, breach=f"without_{without}" if without else breach)
     record, views = fleet.play_virtual(found, seed) if virtual else fleet.play_sockets(found, seed)
     verdicts = judge(record) + beliefs.judge(views)
     print(f"{day}, seed {seed}, {'virtual' if virtual else 'processes'}, {found.roots} roots, {found.seconds:g} s, troubles: "
