--- a/mothnotch/badday/script.py
+++ b/mothnotch/badday/script.py
@@ -86,11 +86,11 @@
     drain_grace_ms: float = 250.0
     news_late_s: float = 0.0            # the roster is told to roots so late
     consul: ConsulScript | None = None
-    peers: PeersScript | None = None
     troubles: list[TroubleScript] = []
     breach: Literal["", "late_sends", "keys_dropped", "ignores_drains", "half_as_whole", "many_attempts", "no_cold",
                     "silent", "double", "late_news", "old_life", "young_facts", "never_gone", "hasty", "without_health",
                     "without_streams"] = ""
+    peers: PeersScript | None = None
 
 
 def load(text, path="script"):
