--- a/mothnotch/badday/fleet.py
+++ b/mothnotch/badday/fleet.py
@@ -18,14 +18,13 @@
 from pathlib import Path
 
 import trio
-import trio.testing
 
 from mothnotch import demo, logs, net
 from mothnotch.audit import breaches
 from mothnotch.audit.peers import PeersRecord, Told
 from mothnotch.audit.rules import id_of
 from mothnotch.badday.links import LeafRelays, Link, Links, Relays
-from mothnotch.badday.play import Day, configuration
+from mothnotch.badday.play import Day, configuration, end_all, on_virtual_clock
 from mothnotch.daemon import Root
 from mothnotch.peers import exchange
 from mothnotch.peers.codec import Codec
@@ -381,27 +380,17 @@
     def close(self):
         for process in self.processes.values():
             if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-                process.terminate()
-        for process in self.processes.values():
-            try:
-                process.wait(5)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+                process.send_signal(signal.SIGCONT)    # one that stands still would not hear that it is to end
+        end_all(self.processes.values())
 
 
 def play_virtual(script, seed):
     """(record, peers' record) of a fleet day on a virtual clock."""
-    run = trio._core._run
-    run._ALLOW_DETERMINISTIC_SCHEDULING = True       # trio's own switch for reproducible runs
-    run._r.seed(seed)
-
     async def main():
         day = FleetDay(script, seed, net.MemoryNetwork(), 0.0, InMemory(script, script.breach))
         return await day.run_day(), day.peers
 
-    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return on_virtual_clock(main, seed)
 
 
 def play_sockets(script, seed, slack_s=0.15):
--- a/mothnotch/badday/play.py
+++ b/mothnotch/badday/play.py
@@ -434,11 +434,28 @@
     day.tell()
 
 
-def play_virtual(script, seed):
-    """The record of a day on a virtual clock."""
+def on_virtual_clock(main, seed):
+    """Runs a day on a clock that costs no time; the same seed gives the same run."""
     run = trio._core._run
     run._ALLOW_DETERMINISTIC_SCHEDULING = True       # trio's own switch for reproducible runs
     run._r.seed(seed)
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def end_all(processes):
+    """Ends processes that were started here: all are asked, and after 5 s each is killed."""
+    for process in processes:
+        process.terminate()
+    for process in processes:
+        try:
+            process.wait(5)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def play_virtual(script, seed):
+    """The record of a day on a virtual clock."""
     network = net.MemoryNetwork()
 
     async def main():
@@ -446,7 +463,7 @@
         breaches.plant_leaves(script.breach, day)
         return await day.run_day(roots_in_memory)
 
-    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return on_virtual_clock(main, seed)
 
 
 def play_sockets(script, seed, slack_s=0.15):
@@ -487,14 +504,7 @@
         try:
             return trio.run(main, folder)
         finally:
-            for process in processes:
-                process.terminate()
-            for process in processes:
-                try:
-                    process.wait(5)
-                except subprocess.TimeoutExpired:
-                    process.kill()
-                    process.wait()
+            end_all(processes)
 
 
 def transcript(record):
--- a/mothnotch/studies/peercost.py
+++ b/mothnotch/studies/peercost.py
@@ -16,6 +16,7 @@
 import trio
 
 from mothnotch import demo, net
+from mothnotch.badday.play import end_all
 from mothnotch.bench import WHOLE, asked, cpu_of, rank
 from mothnotch.cli import leaf_processes
 from mothnotch.peers import exchange
@@ -48,14 +49,7 @@
                                               stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, text=True))
         yield [(p, p.stdout.readline().split("postgresql://")[1].strip()) for p in processes]
     finally:
-        for p in processes:
-            p.terminate()
-        for p in processes:
-            try:
-                p.wait(10)
-            except subprocess.TimeoutExpired:
-                p.kill()
-                p.wait()
+        end_all(processes)
 
 
 async def views(count, but=()):
