--- a/tests/platform_day.py
+++ b/tests/platform_day.py
@@ -74,7 +74,7 @@
         self.discovery.say(False, self.target(leaf, state))
 
 
-def play(test, sockets=256, work_s=0.05, **changes):
+def play(test, sockets=256, work_s=0.05, silent=False, **changes):
     """Runs `await test(day)` with a root and a leaf for each cell, on a clock that costs no time."""
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(1)
@@ -90,6 +90,7 @@
                 day.world.record.told.append((0.0, leaf.name, "up", None))
             targets = [day.target(leaf) for leaf in day.leaves]
             day.discovery = platform.Discovery(day.network, targets)
+            day.discovery.silent = silent
             await nursery.start(day.discovery.run)
             known = {"rev": 40, "all": True, "targets": targets}
             found = config(day.discovery.address, known, sockets, **changes)
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -67,7 +67,7 @@
     async def good(self, wire_id, value="v", after_s=0.0):
         """Answers a part. `after_s`: late enough that the next one's first moments are not taken for slowness."""
         await trio.sleep(after_s)
-        await self.stream.send_all(self.answer(wire_id, value))
+        self.stream.socket._sock.send(self.answer(wire_id, value))      # whole: several tasks may answer at once
 
     @staticmethod
     def answer(wire_id, value="v"):
--- a/tests/test_run_line.py
+++ b/tests/test_run_line.py
@@ -166,3 +166,107 @@
     installed = {name for name in top for place in places
                  if (pathlib.Path(place) / name).is_dir() or (pathlib.Path(place) / f"{name}.py").is_file()}
     assert installed - OPTIONAL <= LIBRARIES, installed - OPTIONAL - LIBRARIES
+
+
+# ---- the end of the process, counted by its clients ----
+
+def test_whatever_state_a_request_is_in_at_the_word_to_stop_its_client_gets_one_answer(tmp_path):
+    """The process is held (SIGSTOP) while requests come and the word to stop does, so that all cross it."""
+    from tests.test_ends import Client, Link, Rig
+
+    async def main():
+        rig, answers = Rig(), {}
+        listener = (await net.SocketNetwork().listen("127.0.0.1:0"))[0]
+        where = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        await listener.aclose()
+        process, _ = start(tmp_path, f"127.0.0.1:{rig.agent.socket.getsockname()[1]}", where.rpartition(":")[2])
+
+        async def leaf(one):
+            async def link(stream):
+                side = Link(stream)
+                while (found := await side.frame()) is not None:
+                    if found[0] == "m":
+                        from tests.test_ends import ids
+                        for wire_id in ids(found[1]):
+                            if not wire_id.startswith("hung"):
+                                nursery.start_soon(side.good, wire_id, "v", 0.1)
+
+            while True:
+                nursery.start_soon(link, await one.listener.accept())
+
+        async def agent():
+            watch = await rig.watch()
+            await watch.say(41, *[rig.target(x) for x in rig.leaves], whole=True)
+            while True:
+                await trio.sleep(1)
+                await watch.raw(b"\n")
+
+        async def take(name, client, count=1):
+            answers[name] = [await client.answer() for _ in range(count)]
+            answers[name].append(await client.answer())          # and nothing after it
+
+        try:
+            with trio.fail_after(60):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(agent)
+                    for one in rig.leaves:
+                        nursery.start_soon(leaf, one)
+                    while True:
+                        try:
+                            kept = Client(where)
+                            kept.now(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                            if (await kept.answer())[0] == 200:
+                                break
+                        except OSError:
+                            assert process.poll() is None, process.stderr.read()
+                        await trio.sleep(0.05)
+                    hung, half, early, out, idle = (Client(where) for _ in range(5))
+                    idle.now(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+                    assert (await idle.answer())[0] == 200
+                    hung.now(platform.request("hung", "read", (0,), timeout_ms=900))
+                    text = platform.request("half", "read", (1,))
+                    half.now(text[:-20])
+                    await trio.sleep(0.2)                          # those are read; what follows is not
+                    process.send_signal(signal.SIGSTOP)
+                    kept.now(platform.request("kept", "read", (0,)))
+                    out.now(platform.request("out", "hold", (3,), key="k"))
+                    backlog = Client(where)
+                    backlog.now(platform.request("backlog", "read", (2,)))
+                    process.send_signal(signal.SIGTERM)
+                    process.send_signal(signal.SIGCONT)
+                    began = trio.current_time()
+                    for name, client in (("hung", hung), ("kept", kept), ("out", out), ("backlog", backlog), ("half", half),
+                                         ("early", early)):
+                        nursery.start_soon(take, name, client)
+                    await trio.sleep(0.2)
+                    process.send_signal(signal.SIGTERM)            # once more
+                    half.now(text[-20:])
+                    new = Client(where)
+                    new.now(platform.request("new", "read", (1,)))
+                    nursery.start_soon(take, "new", new)
+                    await trio.sleep(0.15)
+                    process.send_signal(signal.SIGSTOP)            # held over the instant at which it takes no more
+                    idle.now(platform.request("idle", "read", (0,)))
+                    late = Client(where)
+                    late.now(platform.request("late", "read", (2,)))
+                    nursery.start_soon(take, "late", late)
+                    nursery.start_soon(take, "idle", idle)
+                    await trio.sleep(0.35)
+                    process.send_signal(signal.SIGCONT)
+                    early.now(platform.request("early", "read", (1,)))     # a connection that asked nothing until then
+                    while process.poll() is None:
+                        await trio.sleep(0.02)
+                    ended = trio.current_time() - began
+                    await trio.sleep(0.1)
+                    nursery.cancel_scope.cancel()
+        finally:
+            process.kill()
+            process.wait()
+        log = process.stderr.read().decode()
+        assert process.returncode == 0 and "not answered" not in log and "unexpected" not in log, log
+        assert ended < 1.5 + 0.7, ended                            # the longest deadline and what comes on top
+        assert {name: [got and got[0] for got in found] for name, found in answers.items()} == {
+            "hung": [503, None], **{name: [200, None] for name in ("kept", "out", "backlog", "half", "early", "new", "idle",
+                                                                            "late")}}
+
+    trio.run(main)
