--- a/mothnotch/node/config.py
+++ b/mothnotch/node/config.py
@@ -61,7 +61,7 @@
 def read(raw, path="configuration"):
     try:
         file = msgspec.json.decode(raw, type=File)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from None
     for name in ("listen", "discovery"):
         try:
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -13,7 +13,7 @@
 
 LINE = 8 << 20                   # the longest list taken
 READ = 1 << 16
-BROKEN = (*GONE, h11.RemoteProtocolError, msgspec.DecodeError, EOFError, trio.TooSlowError)
+BROKEN = (*GONE, h11.RemoteProtocolError, msgspec.DecodeError, EOFError, trio.TooSlowError, RecursionError)
 
 
 class Watch:
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -255,6 +255,9 @@
             client.fail(error.status, str(error))
         except h11.RemoteProtocolError as error:
             client.fail(error.error_status_hint, str(error))
+        except Exception as error:
+            # Whoever drives it, another connection's task, the sweep or the core's turn, must not end by it.
+            self.broken(client, error)
 
     def part(self, client):
         """Its last answer is out: nothing more is said."""
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -100,7 +100,7 @@
             raise BadRequest(400, "Idempotency-Key: one word is needed in this class")
     try:
         asked = decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:      # the last: nested too deep
         raise BadRequest(400, f"body: {error}") from None
     check(asked.ranges, shards)
     text = asked.predicate.encode("utf-8", "surrogatepass")
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -592,6 +592,37 @@
         assert (await client.answer())[0] == 500
 
 
+DEEP = b'{"ranges":[],"predicate":"t","x":' + b"[" * 30_000 + b"]" * 30_000 + b"}"
+
+
+@real
+async def test_a_body_nested_too_deep_behind_another_request_costs_its_connection_and_no_root():
+    """It is read in the core's turn that answers the first one: an error there was the root's end."""
+    async with rig() as r:
+        other, client, home = r.client(), r.client(), r.home(0)
+        other.now(request("r1", "read", (0,)))
+        link = await home.link()
+        assert await link.call() == ["r1.0"]
+        client.now(request("r2", "read", (0,)))
+        assert await link.call() == ["r2.0"]
+        client.now(request("r3", "read", (0,), body=DEEP))
+        await trio.sleep(0.05)
+        await link.good("r2.0")
+        assert (await client.answer())[0] == 200 and (await client.answer())[0] == 400
+        await link.good("r1.0")
+        assert (await other.answer())[0] == 200
+        await r.empty()
+
+
+@real
+async def test_a_list_nested_too_deep_breaks_its_watch_and_no_root():
+    async with rig() as r:
+        await r.first.raw(b'{"rev":50,"all":true,"targets":[],"x":' + b"[" * 30_000 + b"]" * 30_000 + b"}\n")
+        again = await r.watch()
+        await again.say(51, r.target(r.leaves[0], "Terminating"))
+        await until(lambda: not r.root.calls.leaves["s0"].takes_new)
+
+
 def test_a_root_that_owes_an_answer_at_its_end_says_so():
     async def test():
         async with rig() as r:
