--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -7,13 +7,12 @@
 asked again; `cancels` cancel connections a leaf at once, past which the connection is only closed; the heap holds
 what was sent within the longest time-out.
 """
-import math
 from dataclasses import dataclass
 
 import trio
 
 from mothnotch.decisions import interface as i
-from mothnotch.decisions import links, outcomes
+from mothnotch.decisions import outcomes
 from mothnotch.decisions.membership import Own
 from mothnotch.leaves.connection import Connection, ReadExchange, Unanswered, WriteExchange
 from mothnotch.leaves.payload import Write
@@ -170,9 +169,8 @@
         return None
 
     def begin(self, call, connection):
-        over = all(attempt.part.query.outcome is not None for attempt in call.exchange.attempts)
-        if links.held_back(call.leaf.takes_new and connection.address == call.leaf.address, over, math.inf) is not None:
-            # Told, moved or left while the connection was made: nothing has gone out yet, and nothing may any more.
+        if not call.leaf.takes_new:
+            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
             call.exchange.lost(i.Result.UNSENT)
             self.release(connection)
             return
