A connection is given one part fewer than its leaf works on, so that each word is read at once

The protocol: what is beyond that number waits unread; so does the word, and the part is still out.

In its place `links.places`: one part fewer than the setting. Then the leaf always reads, each word counts as it comes, and nothing written waits unread. Where the setting is one, giving up closes the connection, which carries nothing else.

--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -27,32 +27,13 @@
         return heard_us < sent_us and self.usual_us is not None and now_us - sent_us >= PATIENCE * self.usual_us
 
 
-class Places:
-    """Which places for parts on a connection may still be taken by parts given up there.
-
-    A leaf reads so many parts of a connection and lets any beyond wait unread, with all that comes behind them. So a part
-    that would wait is no part sent: it would go to a leaf that drains, past its window, or as a second copy, once it is
-    read. The word that a part is given up frees its place once the leaf has read it, and nothing says when: at the latest
-    by an answer to what was written behind that word. Guards against that wait. Harm: where nothing is answered any more,
-    a connection takes no more parts after as many as it has places for, and another is opened."""
-
-    def __init__(self):
-        self.written, self.held = 0, {}      # calls written; id given up -> calls written before the word
-
-    def wrote(self):
-        """The number of the call that is written now."""
-        self.written += 1
-        return self.written
-
-    def gave_up(self, wire_id):
-        self.held.pop(wire_id, None)
-        self.held[wire_id] = self.written
-
-    def answered(self, wire_id, number=0):
-        """An answer came: to something given up, or to what is out in the call of that number."""
-        self.held.pop(wire_id, None)
-        while self.held and self.held[first := next(iter(self.held))] < number:
-            del self.held[first]
+def places(streams):
+    """How many parts a connection is given at once, whose leaf works on `streams` of them: one fewer. A leaf that has as
+    many lets all that comes wait unread until it has answered one, and so the word that one of them is given up, too: it
+    would still be out while another attempt runs, and what is written behind that word would be read whenever that is,
+    past its leaf's drain or its window. Where there is but one place, giving up takes a close (`closes`). Harm: where
+    there are two, each part out needs a connection of its own."""
+    return max(1, streams - 1)
 
 
 def held_back(takes_new, over, repeat_s, left_s):
@@ -65,11 +46,12 @@
     return Result.UNREACHABLE if left_s <= 0 else None
 
 
-def closes(word_waits, over, copies):
-    """Whether giving up an attempt that is out needs a close: the word for it cannot leave at once, and another attempt,
-    which only an open query makes, would overtake it and be a second copy. Harm: the others on that connection may have
-    run then; so not where copies are allowed, nor for a query that is over."""
-    return word_waits and not over and not copies
+def closes(full, word_waits, over, copies):
+    """Whether giving up an attempt that is out needs a close. `full`: its leaf reads no word, as it has no place left. Or
+    the word for it cannot leave at once, and another attempt, which only an open query makes, would overtake it and be a
+    second copy. Harm: the others on that connection may have run then; so not where copies are allowed, nor for a query
+    that is over. Where `places` is kept to, a full connection has no others."""
+    return full or word_waits and not over and not copies
 
 
 def overdue(idle_for_s, most_s):
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -3,7 +3,7 @@
 What an attempt ends with follows the platform's table; it turns on whether the last byte of its frame was taken by
 the socket: before that it never ran (UNREACHABLE), from then on it may have (BROKEN, TIMEOUT). What has to wait, for a
 connection to come up or for a socket to take more, waits as attempts, not as bytes: `Link.go_on` is the one point at
-which they are looked at again before they leave. Bounds: `streams` parts on a connection, waiting or out; `most`
+which they are looked at again before they leave. Bounds: `places` parts on a connection, waiting or out; `most`
 connections in all, past which an attempt ends UNSENT and the module is asked again; SPENT ids given up on a
 connection, past which it takes nothing new.
 """
@@ -32,7 +32,7 @@
     """One connection to a leaf, under way or made."""
 
     __slots__ = ("calls", "leaf", "address", "reader", "out", "spent", "waiting", "given", "ends", "probes", "idle_since",
-                 "no_more", "heard_us", "places")
+                 "no_more", "heard_us")
 
     def __init__(self, calls, leaf):
         super().__init__(calls.network, calls.nursery, None)
@@ -42,7 +42,6 @@
         self.given, self.ends = 0, deque()   # bytes the socket took; (a frame's first, its end, attempts) to come
         self.probes = deque()                # (sent_us, post) of the probes out
         self.idle_since, self.no_more, self.heard_us = trio.current_time(), False, 0
-        self.places = links.Places()
 
     @property
     def load(self):
@@ -93,10 +92,10 @@
 class Ticket:
     """What an attempt knows of the connection it is on."""
 
-    __slots__ = ("calls", "link", "wire_id", "went", "number")
+    __slots__ = ("calls", "link", "wire_id", "went")
 
     def __init__(self, calls, link, wire_id):
-        self.calls, self.link, self.wire_id, self.went, self.number = calls, link, wire_id, False, 0
+        self.calls, self.link, self.wire_id, self.went = calls, link, wire_id, False
 
     def dropped(self, attempt):
         """The attempt was called off."""
@@ -107,7 +106,8 @@
     """All leaves. `send`, `disconnect` and `probe` are what the core uses."""
 
     def __init__(self, network, log, streams, per_call, most, idle_s, connect_s, copies=False):
-        self.network, self.log, self.streams, self.per_call = network, log, streams, max(1, min(per_call, streams))
+        self.network, self.log, self.streams, self.places = network, log, streams, links.places(streams)
+        self.per_call = max(1, min(per_call, self.places))
         self.most, self.idle_s, self.connect_s, self.copies = most, idle_s, connect_s, copies
         self.leaves, self.open = {}, 0
         self.timeouts, self.hearing = Timeouts(self.timed_out), links.Hearing()
@@ -205,11 +205,10 @@
     def link(self, leaf, ids):
         """A connection with room for such attempts, none of them of an id that an earlier answer may still come for."""
         for link in list(leaf.links):
-            full = link.load + len(link.places.held) + len(ids) > self.streams
-            if not link.load and (full or links.overdue(trio.current_time() - link.idle_since, self.idle_s)):
-                self.close_if_idle(link)
-            elif link.no_more or full:
+            if link.no_more or link.load + len(ids) > self.places:
                 continue
+            if not link.load and links.overdue(trio.current_time() - link.idle_since, self.idle_s):
+                self.lost(link)
             elif not any(x in link.spent or x in link.out for x in ids):
                 return link
         return None
@@ -239,9 +238,6 @@
             self.counts["frames"] += 1
             data = frames.call(parts)
             link.ends.append((link.given, link.given + len(data), going))
-            number = link.places.wrote()
-            for attempt in going:
-                attempt.call.number = number
             link.send(data)
 
     # ---- answers ----
@@ -280,13 +276,11 @@
                 if wire_id not in link.spent:
                     raise frames.FrameError("an answer to nothing that is out")
                 del link.spent[wire_id]           # given up before: it counts for nothing
-                link.places.answered(wire_id)
                 self.counts["late"] += 1
             elif not attempt.call.went:
                 link.out[wire_id] = attempt
                 raise frames.FrameError("an answer to what has not gone out")
             else:
-                link.places.answered(wire_id, attempt.call.number)
                 self.hearing.answered(at_us - attempt.went_us)
                 attempt.end(RESULTS[end], value, report, at_us)
             self.rested(link)
@@ -314,18 +308,18 @@
             return
         if link.dead or link.out.get(wire_id) is not attempt:
             return
+        full = len(link.out) >= self.streams
         del link.out[wire_id]
         self.counts["given_up"] += 1
         if ticket.went and not link.no_more and self.hearing.silent(
                 attempt.went_us, link.heard_us, int(trio.current_time() * 1e6)):
             link.no_more = True                   # what is sent next opens a connection of its own
             self.counts["silent"] += 1
-        if not ticket.went or links.closes(link.sending, attempt.part.query.outcome is not None, self.copies):
+        if not ticket.went or links.closes(full, link.sending, attempt.part.query.outcome is not None, self.copies):
             # Of a frame that is partly out none may run; of one that is out, only a close is quick enough.
             self.lost(link)
             return
         link.spent[wire_id] = None
-        link.places.gave_up(wire_id)
         if len(link.spent) >= SPENT:
             link.no_more = True                   # none is forgotten: its late answer would count as a broken protocol
         link.send(frames.give_up(wire_id))
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -635,62 +635,55 @@
         assert (await stay.answer())[0] == 200 and r.root.calls.counts["spoilt"] == 0
 
 
-@real
-async def test_a_part_given_up_holds_its_place_until_the_leaf_has_surely_read_the_word():
-    """What a connection has no place for is not read by its leaf: sent, it would come after a drain, or as a second copy."""
-    async with rig(limits={"multiplex": 2}) as r:
-        home, stay, client = r.home(0), r.client(), r.client()
-        stay.now(request("first", "hold", (0,), key="k0", timeout_ms=6000))
-        link = await home.link()
-        assert await link.call() == ["first.0"]
-        await link.good("first.0", after_s=0.3)            # what the module takes for usual
-        assert (await stay.answer())[0] == 200
-        stay.now(request("stay", "hold", (0,), key="k1", timeout_ms=6000))
-        assert await link.call() == ["stay.0"]
-        client.now(request("r1", "read", (0,), timeout_ms=6000))
-        assert await link.call() == ["r1.0"]
-        client.leave()
-        assert await link.frame() == ("n", b"r1.0")
-        client = r.client()
-        client.now(request("r2", "read", (0,), timeout_ms=6000))      # one is out, one may still hold its place
+async def usual(r, home):
+    """A connection to a leaf that has answered once: what the module takes for usual."""
+    client = r.client()
+    client.now(request("first", "read", (0,), timeout_ms=6000))
+    link = await home.link()
+    assert await link.call() == ["first.0"]
+    await link.good("first.0", after_s=0.3)
+    assert (await client.answer())[0] == 200
+    return link
+
+
+@real
+async def test_a_connection_is_given_one_part_fewer_than_its_leaf_works_on_so_that_each_word_is_read():
+    """What a leaf has no place for waits unread, with the words behind it: sent, it would come after a drain, or as a
+    second copy of what is given up elsewhere."""
+    async with rig(limits={"multiplex": 3}) as r:
+        home, clients = r.home(0), [r.client() for _ in range(4)]
+        link = await usual(r, home)
+        for n, client in enumerate(clients[:2]):
+            client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
+            assert await link.call() == [f"r{n}.0"]
+        clients[2].now(request("r2", "read", (0,), timeout_ms=6000))
         other = await home.link()
         assert await other.call() == ["r2.0"]
-        await other.good("r2.0")
-        await link.good("stay.0")                          # of a call before the word: it says nothing of that
-        assert (await stay.answer())[0] == 200 and (await client.answer())[0] == 200
-        stay.now(request("r3", "hold", (0,), key="k3", timeout_ms=6000))
-        assert await link.call() == ["r3.0"]               # one place is free
-        client.now(request("r4", "hold", (0,), key="k4", timeout_ms=6000))
-        assert await other.call() == ["r4.0"]              # and no second one
-        await link.good("r3.0")                            # of a call behind the word: both are free
-        assert (await stay.answer())[0] == 200
-        for n, another in enumerate([stay, r.client()]):
-            another.now(request(f"s{n}", "hold", (0,), key=f"s{n}", timeout_ms=6000))
-            assert await link.call() == [f"s{n}.0"]
+        clients[0].leave()
+        assert await link.frame() == ("n", b"r0.0")        # read at once, and its place is free
+        clients[3].now(request("r3", "read", (0,), timeout_ms=6000))
+        assert await link.call() == ["r3.0"]
 
 
 @real
-async def test_a_connection_all_of_whose_places_may_be_held_goes_and_another_is_opened():
+async def test_giving_up_the_only_part_that_a_leaf_works_on_closes_its_connection():
     async with rig(limits={"multiplex": 1}) as r:
-        home, client = r.home(0), r.client()
-        client.now(request("first", "read", (0,), timeout_ms=6000))
-        link = await home.link()
-        assert await link.call() == ["first.0"]
-        await link.good("first.0", after_s=0.3)            # what the module takes for usual
-        assert (await client.answer())[0] == 200
-        for n in range(4):
+        home = r.home(0)
+        link = await usual(r, home)
+        for n in range(3):
+            client = r.client()
             client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
             link = await home.link() if n else link
             assert await link.call() == [f"r{n}.0"]
             client.leave()
-            client = r.client()
-            assert await link.frame() == ("n", f"r{n}.0".encode())
-            assert len(r.root.calls.leaves[home.name].links) == 1
+            assert await link.frame() is None
+            assert not r.root.calls.leaves[home.name].links
 
 
 @real
-async def test_no_call_carries_more_parts_than_its_connection():
-    async with rig(limits={"multiplex": 1}) as r:
+@pytest.mark.parametrize("streams", [1, 2])
+async def test_no_call_carries_more_parts_than_its_connection(streams):
+    async with rig(limits={"multiplex": streams}) as r:
         home = r.home(0)
         shards = [shard for shard in range(8) if r.home(shard) is home]
         assert len(shards) > 1
@@ -700,36 +693,30 @@
         assert sorted(found) == [[f"r1.{shard}"] for shard in shards]
 
 
-@pytest.mark.parametrize("seed", range(20))
-def test_at_any_order_of_ends_a_leaf_has_a_place_for_each_part_that_it_reads(seed):
-    """A leaf that reads in order, one thing at a time, and not on past a part that it has no place for."""
-    rng, places, streams = random.Random(seed), links_decided.Places(), 1 + seed % 5
-    wire, working, out, numbers, unread = [], set(), set(), {}, 0
+@pytest.mark.parametrize("streams", range(2, 7))
+@pytest.mark.parametrize("seed", range(4))
+def test_in_any_order_of_ends_a_leaf_reads_all_that_comes_at_once(seed, streams):
+    """A leaf that reads in order, and nothing while it works on `streams` parts; words free their parts' places."""
+    rng, most = random.Random(seed), links_decided.places(streams)
+    wire, working, out = [], set(), set()
     for step in range(4000):
         what = rng.random()
-        if not out and len(places.held) == streams:        # it is closed, and another opened
-            places, wire, working = links_decided.Places(), [], set()
-        if what < 0.4 and len(out) + len(places.held) < streams:
-            numbers[step] = places.wrote()
+        if what < 0.5 and len(out) < most:
             out.add(step)
             wire.append(("m", step))
         elif what < 0.6 and out:
             part = rng.choice(sorted(out))
             out.discard(part)
-            places.gave_up(part)
             wire.append(("n", part))
         elif what < 0.8 and wire:
-            letter, part = wire[0]
-            unread += letter == "m" and len(working) >= streams
-            if letter == "n" or len(working) < streams:
-                wire.pop(0)
-                (working.add if letter == "m" else working.discard)(part)
+            assert len(working) < streams
+            letter, part = wire.pop(0)
+            (working.add if letter == "m" else working.discard)(part)
         elif working:
             part = rng.choice(sorted(working))
             working.discard(part)
-            places.answered(part, numbers[part] if part in out else 0)
             out.discard(part)
-    assert not unread and len(numbers) > 400
+    assert step == 3999
 
 
 @real
