--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -169,13 +169,9 @@
         return None
 
     def begin(self, call, connection):
-        if not call.leaf.takes_new:
-            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
-            call.exchange.lost(i.Result.UNSENT)
-            self.release(connection)
-            return
-        if any(attempt.too_late for attempt in call.live):
-            # The time in which leaves drop a repeat has passed while the connection was made.
+        if not call.leaf.takes_new or any(attempt.too_late for attempt in call.live):
+            # Told while the connection was made, or the time in which leaves drop a repeat has passed meanwhile: nothing
+            # has gone out yet, and nothing may any more.
             call.exchange.lost(i.Result.UNSENT)
             self.release(connection)
             return
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -264,6 +264,31 @@
     return "x" * n
 
 
+def keyed(window_s):
+    """The classes of the settings, with so long a window of the keyed one, and long aims."""
+    read, hold = options()["lanes"]
+    return [read, {**hold, "aimUs": 4_000_000, "deadlineUs": 8_000_000, "repeatWindowUs": int(window_s * 1e6)}]
+
+
+async def usual(r, shard=0):
+    """A connection to a shard's leaf that has answered once: what the module takes for usual."""
+    client, home = r.client(), r.home(shard)
+    client.now(request("first", "read", (shard,), timeout_ms=6000))
+    link = await home.link()
+    assert await link.call() == [f"first.{shard}"]
+    await link.good(f"first.{shard}", after_s=0.3)
+    assert (await client.answer())[0] == 200
+    return link
+
+
+def send(r, part, leaf, *more):
+    """Sends an attempt of a part as if the module had decided it in a turn of its own."""
+    core = r.root.core
+    core.now, core.sends = int(trio.current_time() * 1e6), {}
+    core.on_send(i.Send(part.id, leaf.name, 5_000_000, *more))
+    core.leaves.send(leaf.name, core.sends.pop(leaf.name))
+
+
 # ---- clients that leave ----
 
 @real
@@ -387,9 +412,7 @@
         r.network.gate, asked = trio.Event(), r.network.asked
         part = next(part for part in core.parts.values() if part.spec.shard == 0)
         other = next(leaf for leaf in r.leaves if not r.root.calls.leaves[leaf.name].links)
-        core.now, core.sends = int(trio.current_time() * 1e6), {}
-        core.on_send(i.Send(part.id, other.name, 5_000_000))
-        core.leaves.send(other.name, core.sends.pop(other.name))
+        send(r, part, other)
         await until(lambda: r.network.asked > asked)
         await link.good("r1.0")
         await until(lambda: part.rows is not None)
@@ -558,9 +581,8 @@
 @pytest.mark.parametrize("late", [True, False])
 async def test_a_keyed_part_that_may_have_run_does_not_go_out_again_after_its_window(late):
     """Its second attempt is decided within the window; the connection for it comes up within it, or after it."""
-    window_s, lanes = 0.6, options()["lanes"]
-    hold = {**lanes[1], "aimUs": 4_000_000, "deadlineUs": 8_000_000, "repeatWindowUs": int(window_s * 1e6)}
-    async with rig(lanes=[lanes[0], hold], limits={"dialTimeoutUs": 2_000_000}) as r:
+    window_s = 0.6
+    async with rig(lanes=keyed(window_s), limits={"dialTimeoutUs": 2_000_000}) as r:
         home, client = r.home(0), r.client()
         client.now(request("r1", "hold", (0,), key="k1"))
         link = await home.link()
@@ -589,23 +611,16 @@
 @real
 async def test_a_keyed_part_that_waited_does_not_go_out_once_the_window_of_its_copy_has_passed():
     """The first attempt waits for its connection; the second, on one that stands, overtakes it."""
-    window_s, lanes = 0.3, options()["lanes"]
-    hold = {**lanes[1], "aimUs": 4_000_000, "deadlineUs": 8_000_000, "repeatWindowUs": int(window_s * 1e6)}
-    async with rig(lanes=[lanes[0], hold], limits={"dialTimeoutUs": 2_000_000, "cancel": False, "mayDuplicate": True}) as r:
+    window_s = 0.3
+    async with rig(lanes=keyed(window_s), limits={"dialTimeoutUs": 2_000_000, "cancel": False, "mayDuplicate": True}) as r:
         core, home, client = r.root.core, r.home(0), r.client()
         away = next(shard for shard in range(1, 8) if r.home(shard) is not home)
-        client.now(request("r0", "read", (away,)))
-        link = await r.home(away).link()
-        assert await link.call() == [f"r0.{away}"]
-        await link.good(f"r0.{away}", after_s=0.3)
-        assert (await client.answer())[0] == 200
+        link = await usual(r, away)
         r.network.gate, asked = trio.Event(), r.network.asked
         client.now(request("r1", "hold", (0,), key="k1", timeout_ms=6000))
         await until(lambda: r.network.asked > asked)
         (part,) = core.parts.values()
-        core.now, core.sends = int(trio.current_time() * 1e6), {}
-        core.on_send(i.Send(part.id, r.home(away).name, 5_000_000, int(window_s * 1e6)))
-        core.leaves.send(r.home(away).name, core.sends.pop(r.home(away).name))
+        send(r, part, r.home(away), int(window_s * 1e6))
         assert await link.call() == ["r1.0"]
         await trio.sleep(window_s + 0.001)
         r.network.gate.set()
@@ -635,24 +650,13 @@
         assert (await stay.answer())[0] == 200 and r.root.calls.counts["spoilt"] == 0
 
 
-async def usual(r, home):
-    """A connection to a leaf that has answered once: what the module takes for usual."""
-    client = r.client()
-    client.now(request("first", "read", (0,), timeout_ms=6000))
-    link = await home.link()
-    assert await link.call() == ["first.0"]
-    await link.good("first.0", after_s=0.3)
-    assert (await client.answer())[0] == 200
-    return link
-
-
 @real
 async def test_a_connection_is_given_one_part_fewer_than_its_leaf_works_on_so_that_each_word_is_read():
     """What a leaf has no place for waits unread, with the words behind it: sent, it would come after a drain, or as a
     second copy of what is given up elsewhere."""
     async with rig(limits={"multiplex": 3}) as r:
         home, clients = r.home(0), [r.client() for _ in range(4)]
-        link = await usual(r, home)
+        link = await usual(r)
         for n, client in enumerate(clients[:2]):
             client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
             assert await link.call() == [f"r{n}.0"]
@@ -669,7 +673,7 @@
 async def test_giving_up_the_only_part_that_a_leaf_works_on_closes_its_connection():
     async with rig(limits={"multiplex": 1}) as r:
         home = r.home(0)
-        link = await usual(r, home)
+        link = await usual(r)
         for n in range(3):
             client = r.client()
             client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
