--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -1,9 +1,12 @@
-"""What a root believes of its connections: which of them still carry answers.
+"""What a root believes of its connections: which of them still carry answers, and what may still go out on them.
 
-Guards against connections that fall silent while the leaf behind them is sound (a forgotten address translation, a
-peer that vanished without a word): everything sent there would time out, and the leaf be blamed. Harm: a leaf that
-is slow for all gets a new connection for each part that was given up there, which costs it a handshake.
+`Hearing` guards against connections that fall silent while the leaf behind them is sound (a forgotten address
+translation, a peer that vanished without a word, an answer that never ends): everything sent there would time out, and
+the leaf be blamed. Harm: a leaf that is slow for all gets a new connection for each part that was given up there,
+which costs it a handshake.
 """
+from mothnotch.decisions.interface import Result
+
 DRIFT = 1.03                      # step of the running median
 PATIENCE = 3                      # times the usual answer that nothing may be heard for
 
@@ -22,3 +25,29 @@
     def silent(self, sent_us, heard_us, now_us):
         """Whether a connection is in doubt when something sent on it is given up: nothing at all has come since."""
         return heard_us < sent_us and self.usual_us is not None and now_us - sent_us >= PATIENCE * self.usual_us
+
+
+def held_back(takes_new, over, left_s):
+    """How an attempt ends that has waited and may not go out any more; None if it may. Asked at the last point before
+    its first byte leaves: of the leaf, told to drain or gone or at another address by now; of the query, which may be
+    over, as its client left; of the time it still has. Guards against work for nobody. Harm: none, none of it has run."""
+    if not takes_new or over:
+        return Result.UNSENT
+    return Result.UNREACHABLE if left_s <= 0 else None
+
+
+def closes(word_waits, over, copies):
+    """Whether giving up an attempt that is out needs a close: the word for it cannot leave at once, and another attempt,
+    which only an open query makes, would overtake it and be a second copy. Harm: the others on that connection may have
+    run then; so not where copies are allowed, nor for a query that is over."""
+    return word_waits and not over and not copies
+
+
+def overdue(idle_for_s, most_s):
+    """Whether an idle connection is past its time: the leaf may be closing it at this very instant."""
+    return idle_for_s >= most_s
+
+
+def sweep_s(most_s):
+    """How often idle connections are looked at."""
+    return min(0.5, most_s / 4)
--- a/mothnotch/decisions/polling.py
+++ b/mothnotch/decisions/polling.py
@@ -11,9 +11,12 @@
 PATIENCE = 2                     # ... doubled with every round of failures, so often at most
 BURST, RATE = 20.0, 10.0         # answers taken at once; a second, past which the next query waits
 RETRY_AFTER_MOST_S = 30.0
-BEAT_S, BEATS = 2.0, 3.25        # a watch says something every BEAT_S; silent for so many, it is made anew
-ANEW_S = 0.1, 2.0                # before a watch that broke is made anew: at first, and at most
+BEAT_S, BEATS = 2.0, 2.25        # a watch says something every BEAT_S; silent for so many, another is opened beside it
+FIRST_S = 0.5, 6.0               # a watch just opened has to say something by then: at first; doubled, at most
+ANEW_S = 0.05, 0.2               # before a watch that broke is made anew: at first, and at most
 WATCH_CONNECT_S = 1.0            # a watch has to be connected by then
+WATCHES = 3                      # open at once; past it the oldest goes
+READY_S = 8.0                    # a root that no list has reached is ready all the same, with the one it was given
 STUCK_S = 0.5                    # an agent that answers at once without anything new is asked again then
 
 
@@ -74,19 +77,44 @@
 
 
 class Renewal:
-    """When a watch that stays open counts as silent, and when one that broke is made anew: ever later, spread."""
-
-    silent_s, connect_s = BEAT_S * BEATS, WATCH_CONNECT_S
-
-    def __init__(self, random):
-        self.random, self.next_s = random, ANEW_S[0]
-
-    def heard(self):
-        self.next_s = ANEW_S[0]
-
-    def pause(self):
-        pause, self.next_s = self.next_s * (0.5 + self.random() / 2), min(ANEW_S[1], 2 * self.next_s)
-        return pause
+    """When another watch is opened beside those that stand, or in place of one that broke.
+
+    What the agent holds counts as told whether or not a watch is open, and what a silent watch misses counts as told
+    soon after; so a watch that is silent is not given up for another, which may be as silent: both stand, and the first
+    that speaks goes on alone. Guards against watches that fall silent, come up silent, or break again and again. Harm:
+    an agent that is down is asked five times a second while it turns watches away, and holds WATCHES while it does not.
+    """
+
+    connect_s, most = WATCH_CONNECT_S, WATCHES
+
+    def __init__(self, random, now=0.0):
+        self.random, self.began, self.due, self.open = random, now, now, 0
+        self.heard_once, self.next_s, self.patience_s = False, ANEW_S[0], FIRST_S[0]
+
+    def opened(self, now):
+        self.open += 1
+        self.due, self.patience_s = now + self.patience_s, min(FIRST_S[1], 2 * self.patience_s)
+
+    def heard(self, now):
+        """One of them spoke: the others go."""
+        self.heard_once, self.open, self.next_s, self.patience_s = True, 1, ANEW_S[0], FIRST_S[0]
+        self.due = now + BEAT_S * BEATS
+
+    def broke(self, now):
+        """One of them ended. The last one's is made anew: ever later, spread."""
+        self.open -= 1
+        if not self.open:
+            self.due = min(self.due, now + self.next_s * (0.5 + self.random() / 2))
+            self.next_s = min(ANEW_S[1], 2 * self.next_s)
+
+    def moved(self, now):
+        """Another agent: none of those that stand counts."""
+        self.due, self.open, self.next_s, self.patience_s = now, 0, ANEW_S[0], FIRST_S[0]
+
+    def ready(self, now):
+        """Whether the root may say that it is ready: with the agent's own list, as what the agent holds counts from the
+        first moment of a process. Harm: while discovery is down, a root that starts serves nobody for READY_S."""
+        return self.heard_once or now - self.began >= READY_S
 
 
 @dataclass(slots=True, frozen=True)
--- a/mothnotch/decisions/roster.py
+++ b/mothnotch/decisions/roster.py
@@ -2,7 +2,7 @@
 
 Pure: the raw entries, both clocks and the roster before come in; entries or errors come out.
 """
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mothnotch.decisions.interface import Entry, ListNews, News
 
@@ -52,3 +52,48 @@
         started = 0 if age_us is None or age_us >= now_us else now_us - age_us
         entries.append(Entry(leaf.name, leaf.zone, leaf.cell, leaf.state, leaf.weight, started))
     return ListNews(kind, version, tuple(entries))
+
+
+class Told:
+    """What an agent's lists said so far, by version: which of them are news, and what an older one may not take back.
+
+    Versions of one agent only rise. Another agent's, or the same one's after it lost its state, may be lower: its whole
+    list counts then, but a leaf told to drain or gone stays so until a list as new as that word names it again, or it
+    was started anew. Harm: where versions begin anew, a leaf that drained and is ready again, without a new start, gets
+    nothing until they have caught up. Bound: `most` leaves that drain or are gone, past which the oldest is forgotten.
+    """
+
+    def __init__(self, most=4096):
+        self.most, self.rev, self.anew, self.ended = most, 0, False, {}     # ended: name -> (version, started)
+
+    def moved(self):
+        """Another agent is asked: its first list may be of any version."""
+        self.anew = True
+
+    def lags(self, rev, whole):
+        """Whether changes come that are older than what is held, first thing from another agent: only its whole list
+        tells what it holds."""
+        return self.anew and not whole and rev < self.rev
+
+    def take(self, rev, whole, leaves):
+        """The leaves that a list changes, or None where it says nothing new."""
+        if not whole and rev <= self.rev:
+            self.anew = False
+            return None
+        found = []
+        for leaf in leaves:
+            word = self.ended.get(leaf.name)
+            if leaf.state != "up":
+                if word is None or word[0] <= rev:
+                    self.ended.pop(leaf.name, None)
+                    self.ended[leaf.name] = rev, leaf.started
+            elif word is not None:
+                if rev < word[0] and leaf.started == word[1]:
+                    leaf = replace(leaf, state="draining")
+                else:
+                    del self.ended[leaf.name]
+            found.append(leaf)
+        while len(self.ended) > self.most:
+            del self.ended[next(iter(self.ended))]
+        self.rev, self.anew = rev, False
+        return found
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -145,6 +145,26 @@
                     return data, now - ago
             return data, now
 
+    def receive_now(self, stream, most):
+        """What a socket holds at this instant, `most` bytes at once; b"" at its end, None where there is nothing."""
+        try:
+            return stream.socket._sock.recv(most)
+        except (BlockingIOError, InterruptedError):
+            return None
+
+    def accept_now(self, listener):
+        """A connection that waits to be accepted, or None."""
+        try:
+            sock, _ = listener.socket._sock.accept()
+        except (OSError, ValueError):
+            return None
+        sock.setblocking(False)
+        return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+
+    def end(self, stream):
+        """Says that nothing more is sent, at once; what comes is still read."""
+        stream.socket.shutdown(socket.SHUT_WR)
+
     def send_now(self, stream, data):
         """Sends what the socket takes at once; gives how many bytes that was. Not while a `send_all` runs."""
         try:
@@ -226,21 +246,26 @@
 
     async def receive_some(self, max_bytes=None):
         await trio.lowlevel.checkpoint()
-        while True:
-            if self.closed:
-                raise trio.ClosedResourceError("this stream was closed")
-            if self.buffer:
-                n = len(self.buffer) if max_bytes is None else max_bytes
-                data = bytes(self.buffer[:n])
-                del self.buffer[:n]
-                self._wake()
-                return data
-            if self.ended or self.peer.closed:
-                return b""
+        while (data := self.receive_now(max_bytes)) is None:
             await self.changed.wait()
+        return data
+
+    def receive_now(self, max_bytes=None):
+        if self.closed:
+            raise trio.ClosedResourceError("this stream was closed")
+        if self.buffer:
+            n = len(self.buffer) if max_bytes is None else max_bytes
+            data = bytes(self.buffer[:n])
+            del self.buffer[:n]
+            self._wake()
+            return data
+        return b"" if self.ended or self.peer.closed else None
 
     async def send_eof(self):
         await trio.lowlevel.checkpoint()
+        self.end()
+
+    def end(self):
         self.peer.ended = True
         self.peer._wake()
 
@@ -351,6 +376,18 @@
     async def receive(self, stream, most):
         return await stream.receive_some(most), trio.current_time()
 
+    def receive_now(self, stream, most):
+        return stream.receive_now(most)
+
+    def accept_now(self, listener):
+        try:
+            return listener.receive.receive_nowait()
+        except (trio.WouldBlock, trio.EndOfChannel, trio.ClosedResourceError):
+            return None
+
+    def end(self, stream):
+        stream.end()
+
     def send_now(self, stream, data):
         return stream.send_now(data)
 
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -1,25 +1,26 @@
 """Calls to the leaves: connections that carry many parts at once.
 
 What an attempt ends with follows the platform's table; it turns on whether the last byte of its frame was taken by
-the socket: before that it never ran (UNREACHABLE), from then on it may have (BROKEN, TIMEOUT). Bounds: `streams`
-parts on a connection, `most` connections in all, past which an attempt ends UNSENT and the module is asked again;
-ids given up are kept by connection, SPENT at most.
+the socket: before that it never ran (UNREACHABLE), from then on it may have (BROKEN, TIMEOUT). What has to wait, for a
+connection to come up or for a socket to take more, waits as attempts, not as bytes: `Link.go_on` is the one point at
+which they are looked at again before they leave. Bounds: `streams` parts on a connection, waiting or out; `most`
+connections in all, past which an attempt ends UNSENT and the module is asked again; SPENT ids given up on a
+connection, past which it takes nothing new.
 """
 from collections import deque
 
 import trio
 
 from mothnotch.decisions import interface as i
-from mothnotch.decisions.links import Hearing
+from mothnotch.decisions import links
 from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
 from mothnotch.node import frames
 from mothnotch.outgoing import GONE, Outgoing
 
 READ = 1 << 15                   # bytes read at once
-SPENT = 1024                     # ids given up and not answered yet that a connection may have
+SPENT = 1024                     # ids given up and not answered yet, with which a connection takes nothing new
 RESULTS = {"good": i.Result.OK, "bad": i.Result.ERROR, "later": i.Result.REJECTED}
-SWEEP_S = 0.5
 
 
 class Leaf:
@@ -37,7 +38,7 @@
         super().__init__(calls.network, calls.nursery, None)
         self.calls, self.leaf, self.address, self.reader = calls, leaf, leaf.address, frames.Reader()
         self.out, self.spent = {}, {}        # wire id -> attempt; ids given up whose answer may still come
-        self.waiting = []                    # attempts for whom the connection is being made
+        self.waiting = []                    # attempts none of whose bytes has left: no connection yet, or a full socket
         self.given, self.ends = 0, deque()   # bytes the socket took; (offset of a frame's end, attempts) still to come
         self.probes = deque()                # (sent_us, post) of the probes out
         self.idle_since, self.no_more, self.heard_us = trio.current_time(), False, 0
@@ -46,10 +47,15 @@
     def load(self):
         return len(self.out) + len(self.waiting)
 
-    def call(self, attempts, data):
-        """Sends the frame of a call."""
-        self.ends.append((self.given + len(self.rest) + len(data), attempts))
-        self.send(data)
+    def go_on(self):
+        """Sends what waits, as far as the socket takes it: the last point at which an attempt may be held back."""
+        while self.waiting and self.stream is not None and not self.rest and not self.dead:
+            most = self.calls.per_call
+            attempts, self.waiting = self.waiting[:most], self.waiting[most:]
+            self.calls.write(self, attempts)
+
+    def through(self):
+        self.go_on()
 
     def took(self, n):
         """Frames that are out whole may run from now on."""
@@ -59,13 +65,6 @@
             for attempt in self.ends.popleft()[1]:
                 attempt.went_us, attempt.call.went = went, True
 
-    def withdrawn(self):
-        """Told that the leaf drains while a frame is not out whole: the connection goes, and that frame never ran."""
-        if self.leaf.takes_new or not self.ends:
-            return False
-        self.lost()
-        return True
-
     def lost(self):
         self.calls.lost(self)
 
@@ -86,13 +85,13 @@
 class Calls:
     """All leaves. `send`, `disconnect` and `probe` are what the core uses."""
 
-    def __init__(self, network, log, streams, per_call, most, idle_s, connect_s):
+    def __init__(self, network, log, streams, per_call, most, idle_s, connect_s, copies=False):
         self.network, self.log, self.streams, self.per_call = network, log, streams, max(1, per_call)
-        self.most, self.idle_s, self.connect_s = most, idle_s, connect_s
+        self.most, self.idle_s, self.connect_s, self.copies = most, idle_s, connect_s, copies
         self.leaves, self.open = {}, 0
-        self.timeouts, self.hearing = Timeouts(self.timed_out), Hearing()
+        self.timeouts, self.hearing = Timeouts(self.timed_out), links.Hearing()
         self.counts = {"connects": 0, "connects_failed": 0, "frames": 0, "given_up": 0, "spoilt": 0, "over_most": 0,
-                       "late": 0, "silent": 0}
+                       "late": 0, "silent": 0, "held_back": 0}
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Runs until cancelled; every connection's task lives in its nursery."""
@@ -118,14 +117,24 @@
                 known.address = leaf.address
                 self.retire(known)
             known.takes_new = leaf.state == "up"
+            if not known.takes_new:
+                self.withdraw(known)
         for name in gone:
             leaf = self.leaves.pop(name, None)
             if leaf is not None:
                 leaf.takes_new = False
                 self.retire(leaf)
 
+    def withdraw(self, leaf):
+        """What was decided before the news and has not left is decided anew."""
+        for link in list(leaf.links):
+            waiting, link.waiting = link.waiting, []
+            for attempt in waiting:
+                attempt.end(i.Result.UNSENT)
+
     def retire(self, leaf):
-        """Its connections carry nothing new; they go once nothing is out on them."""
+        """Its connections carry nothing new, nor what waits for them; they go once nothing is out on them."""
+        self.withdraw(leaf)
         for link in list(leaf.links):
             link.no_more = True
             self.close_if_idle(link)
@@ -155,8 +164,7 @@
 
     def place(self, leaf, attempts):
         ids = [attempt.payload.wire_id for attempt in attempts]
-        link = next((k for k in leaf.links if not k.no_more and k.load + len(ids) <= self.streams
-                     and not any(x in k.spent or x in k.out for x in ids)), None)
+        link = self.link(leaf, ids)
         if link is None:
             if self.open >= self.most:
                 self.counts["over_most"] += 1
@@ -169,25 +177,42 @@
             self.nursery.start_soon(self.connect, link)
         for attempt, wire_id in zip(attempts, ids, strict=True):
             attempt.call = Ticket(self, link, wire_id)
-        if link.stream is None:
-            link.waiting += attempts
-        else:
-            self.write(link, attempts)
+        link.waiting += attempts
+        link.go_on()
+
+    def link(self, leaf, ids):
+        """A connection with room for such attempts, none of them of an id that an earlier answer may still come for."""
+        for link in list(leaf.links):
+            if link.no_more or link.load + len(ids) > self.streams:
+                continue
+            if not link.load and links.overdue(trio.current_time() - link.idle_since, self.idle_s):
+                self.lost(link)
+            elif not any(x in link.spent or x in link.out for x in ids):
+                return link
+        return None
 
     def write(self, link, attempts):
-        """Writes one call's frame."""
-        if not link.leaf.takes_new:
-            # Told while the connection was made: nothing has gone out yet, and nothing may any more.
-            for attempt in attempts:
-                attempt.end(i.Result.UNSENT)
-            return
-        now, parts = trio.current_time(), []
+        """Writes one call's frame, of those that may still go."""
+        now, parts, going = trio.current_time(), [], []
         for attempt in attempts:
+            if attempt.ended:
+                continue
+            left_s = attempt.deadline - now
+            end = links.held_back(link.leaf.takes_new and link.address == link.leaf.address,
+                                  attempt.part.query.outcome is not None, left_s)
+            if end is not None:
+                self.counts["held_back"] += 1
+                attempt.end(end)
+                continue
             link.out[attempt.call.wire_id] = attempt
-            ms = max(1, int((attempt.deadline - now) * 1000))
-            parts.append((attempt.call.wire_id, attempt.part.spec.shard, ms, attempt.payload.key, attempt.payload.text))
-        self.counts["frames"] += 1
-        link.call(attempts, frames.call(parts))
+            going.append(attempt)
+            parts.append((attempt.call.wire_id, attempt.part.spec.shard, max(1, int(left_s * 1000)), attempt.payload.key,
+                          attempt.payload.text))
+        if going:
+            self.counts["frames"] += 1
+            data = frames.call(parts)
+            link.ends.append((link.given + len(data), going))
+            link.send(data)
 
     # ---- answers ----
 
@@ -200,8 +225,9 @@
                     return
                 if not data:
                     break
-                link.heard_us = int(at * 1e6)
                 found, error = link.reader.feed(data)
+                if found:                        # bytes alone are no word: an answer that never ends lets none through
+                    link.heard_us = int(at * 1e6)
                 for letter, rest in found:
                     self.take(link, letter, rest, int(at * 1e6))
                 if error is not None:
@@ -237,7 +263,7 @@
             raise frames.FrameError(f"an unexpected frame {letter!r}: {rest[:80]!r}")
 
     def rested(self, link):
-        if not link.out and not link.dead:
+        if not link.load and not link.dead:
             link.idle_since = trio.current_time()
             if link.no_more:
                 self.lost(link)
@@ -258,13 +284,13 @@
                 attempt.went_us, link.heard_us, int(trio.current_time() * 1e6)):
             link.no_more = True                   # what is sent next opens a connection of its own
             self.counts["silent"] += 1
-        link.spent[wire_id] = None
-        if len(link.spent) > SPENT:
-            del link.spent[next(iter(link.spent))]
-        if link.rest:
-            # The word cannot leave at once, and the next attempt would overtake it: only a close is as quick.
+        if not ticket.went or links.closes(bool(link.rest), attempt.part.query.outcome is not None, self.copies):
+            # Of a frame that is partly out none may run; of one that is out, only a close is quick enough.
             self.lost(link)
             return
+        link.spent[wire_id] = None
+        if len(link.spent) >= SPENT:
+            link.no_more = True                   # none is forgotten: its late answer would count as a broken protocol
         link.send(frames.give_up(wire_id))
         self.rested(link)
 
@@ -322,15 +348,9 @@
             return
         self.network.prepare(stream)
         link.stream = stream
-        waiting, link.waiting = link.waiting, []
         link.idle_since = trio.current_time()
-        live = [attempt for attempt in waiting if not attempt.ended]
-        for at in range(0, len(live), self.per_call):
-            if not link.dead:
-                self.write(link, live[at:at + self.per_call])
+        link.go_on()
         if link.dead:
-            for attempt in live:
-                attempt.end(i.Result.UNREACHABLE)
             return
         if link.no_more:
             self.close_if_idle(link)
@@ -339,9 +359,9 @@
     async def sweep(self):
         """Closes connections that nobody used for long."""
         while True:
-            await trio.sleep(SWEEP_S)
-            before = trio.current_time() - self.idle_s
+            await trio.sleep(links.sweep_s(self.idle_s))
+            now = trio.current_time()
             for leaf in list(self.leaves.values()):
                 for link in list(leaf.links):
-                    if link.idle_since < before and not link.out:
+                    if links.overdue(now - link.idle_since, self.idle_s):
                         self.close_if_idle(link)
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -8,80 +8,125 @@
 from mothnotch.decisions.polling import Renewal
 from mothnotch.net import shut
 from mothnotch.node import listing
+from mothnotch.outgoing import GONE
 from mothnotch.root.core import now_us
 
-LINE = 8 << 20                   # the longest line taken
+LINE = 8 << 20                   # the longest list taken
 READ = 1 << 16
+BROKEN = (*GONE, h11.RemoteProtocolError, msgspec.DecodeError, EOFError, trio.TooSlowError)
 
 
 class Watch:
-    """`address` may be changed at any time: `moved` makes the watch anew there, from the version held."""
+    """`address` may be changed at any time: `moved` makes the watch anew there, from the version held.
+
+    Several may stand at once (decisions/polling.py says when): `standing` holds the scope of each, oldest first.
+    """
 
     def __init__(self, network, address, core, calls, log, chance):
         self.network, self.address, self.core, self.calls, self.log = network, address, core, calls, log
-        self.rev, self.listed, self.scope, self.renewal = 0, False, None, Renewal(chance)
+        self.told, self.listed, self.renewal = roster.Told(), False, Renewal(chance, trio.current_time())
+        self.standing, self.changed, self.whole = [], trio.Event(), False
 
     def start(self, known):
         """The list as last held."""
         if known is not None and known.targets:
             self.tell(known, News.CACHED)
+        self.told.moved()
+
+    def ready(self):
+        return self.renewal.ready(trio.current_time())
 
     def tell(self, found, kind=None):
-        if kind is None and not found.all and found.rev <= self.rev:
+        if self.told.lags(found.rev, found.all):
+            self.whole = True
+            raise EOFError(f"changes up to {found.rev}, where {self.told.rev} is held: the whole list is asked for")
+        leaves = self.told.take(found.rev, found.all or kind is not None, listing.leaves(found))
+        if leaves is None:
             return                                   # repeated, or from before what is held
-        self.rev, self.listed = found.rev, True
+        self.listed, self.whole = True, False
         kind = kind or (News.FULL if found.all else News.CHANGES)
-        leaves = listing.leaves(found)
-        self.calls.follow(leaves, kind is not News.CHANGES)
+        # First in its turn: what is withdrawn by it must be decided anew with it.
         self.core.news(roster.news(leaves, found.rev, now_us(), self.network.wall(), kind))
+        self.calls.follow(leaves, kind is not News.CHANGES)
 
     def moved(self, address):
         if address != self.address:
             self.address = address
-            self.renewal.heard()
-            if self.scope is not None:
-                self.scope.cancel()
+            self.told.moved()
+            self.renewal.moved(trio.current_time())
+            self.alone(None)
+
+    def alone(self, scope):
+        """Ends all watches but one."""
+        for other in self.standing:
+            if other is not scope:
+                other.cancel()
+        self.standing = [] if scope is None else [scope]
+        self.changed.set()
 
     async def run(self):
         """Runs until cancelled."""
-        while True:
+        async with trio.open_nursery() as nursery:
+            while True:
+                self.changed = trio.Event()
+                with trio.move_on_at(self.renewal.due):
+                    await self.changed.wait()
+                if self.renewal.due <= trio.current_time():
+                    scope = trio.CancelScope()
+                    self.standing.append(scope)
+                    self.renewal.opened(trio.current_time())
+                    if len(self.standing) > self.renewal.most:
+                        self.end(self.standing[0], "others are asked in its place")
+                        self.standing.pop(0).cancel()
+                    nursery.start_soon(self.one, scope)
+
+    def end(self, scope, error):
+        """A watch is over, not by its being cancelled for another's sake."""
+        self.log.warning("the watch broke", address=self.address, error=error)
+        self.renewal.broke(trio.current_time())
+        self.core.news(ListNews(News.FAILED, self.told.rev, ()))
+
+    async def one(self, scope):
+        """One watch, until it breaks."""
+        with scope:
             try:
-                with trio.CancelScope() as self.scope:
-                    await self.follow()
-            except (OSError, trio.BrokenResourceError, trio.ClosedResourceError, h11.RemoteProtocolError,
-                    msgspec.DecodeError, EOFError, trio.TooSlowError) as error:
-                self.log.warning("the watch broke", address=self.address, error=f"{type(error).__name__}: {error}")
-                self.core.news(ListNews(News.FAILED, self.rev, ()))
-            if not self.scope.cancelled_caught:
-                await trio.sleep(self.renewal.pause())
-
-    async def follow(self):
+                await self.follow(scope)
+            except BROKEN as error:
+                if scope in self.standing:
+                    self.standing.remove(scope)
+                    self.end(scope, f"{type(error).__name__}: {error}")
+                    self.changed.set()
+
+    def said(self, scope):
+        """It spoke: it goes on alone."""
+        self.renewal.heard(trio.current_time())
+        if self.standing != [scope]:
+            self.alone(scope)
+
+    async def follow(self, scope):
         with trio.fail_after(self.renewal.connect_s):
             stream = await self.network.open(self.address)
         try:
-            http = h11.Connection(h11.CLIENT)
-            target = f"/api/targets?stream=1&index={self.rev}" if self.listed else "/api/targets?stream=1"
+            http, lines = h11.Connection(h11.CLIENT), listing.Lines(LINE)
+            target = "/api/targets?stream=1"
+            if self.listed and not self.whole:
+                target += f"&index={self.told.rev}"
             await stream.send_all(http.send(h11.Request(method="GET", target=target, headers=[("Host", self.address)]))
                                   + http.send(h11.EndOfMessage()))
-            held = bytearray()
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    with trio.fail_after(self.renewal.silent_s):
-                        http.receive_data(await stream.receive_some(READ))
+                    http.receive_data(await stream.receive_some(READ))
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
                         raise EOFError(f"status {event.status_code}")
                 elif isinstance(event, h11.Data):
-                    held += event.data
-                    if len(held) > LINE:
-                        raise EOFError(f"a line of more than {LINE} bytes")
-                    while (end := held.find(b"\n")) >= 0:
-                        line = bytes(held[:end])
-                        del held[:end + 1]
-                        self.renewal.heard()
-                        if line.strip():
-                            self.tell(listing.decode(line))
+                    for found in lines.feed(event.data):
+                        if scope not in self.standing:
+                            return                   # another one goes on
+                        if found is not None:
+                            self.tell(found)
+                        self.said(scope)
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     raise EOFError("the watch ended")
         finally:
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -1,9 +1,16 @@
 """The HTTP front: one task a client connection, which reads; the answer leaves in the turn that decided it.
 
-Bounds: a head of 16 KiB (h11's), a body of 64 KiB, one open request a connection and as much again read ahead of
-it, connections as decisions/shares.py says. A request has to come whole, and its answer to be taken, in stated times;
-one sweep watches over all of them.
+Bounds: a head of 16 KiB (h11's), a body of 64 KiB, one open request a connection and as much again kept of what comes
+ahead of it; what comes past that is read and thrown away, and its connection ends with the open request's answer.
+Connections as decisions/shares.py says. A request has to come whole, and its answer to be taken, in stated times; one
+sweep watches over all of them.
+
+How a connection ends: `part` after a last answer (nothing more is said, what still comes is read for a while: a close
+with bytes unread would be a reset, and could destroy that answer), `let_go` between requests (not if one has come
+meanwhile), `close` at once. A client's end of sending counts as its leaving.
 """
+import math
+
 import h11
 import trio
 
@@ -15,7 +22,8 @@
 from mothnotch.root.core import Full
 
 READ = 1 << 15                   # bytes read at once
-AHEAD = 1 << 16                  # bytes of later requests taken while one is open
+AHEAD = 1 << 16                  # bytes of later requests kept while one is open
+AWAY = 1 << 18                   # bytes thrown away at once, and in all after a last answer
 SWEEP_S = 0.25
 JSON, TEXT = "application/json", "text/plain"
 
@@ -30,14 +38,17 @@
         self.since = trio.current_time()      # of connecting, of the first byte of a request, of the last answer
         self.at = self.since                  # when the last data came
         self.partial, self.closing, self.ahead, self.served = False, False, 0, False
+        self.parting, self.away = False, 0    # the last answer is out; bytes thrown away since
 
     @property
     def idle(self):
         """Between requests, with nothing of a next one read."""
-        return self.query is None and not self.partial and not self.rest
+        return self.parting or self.query is None and not self.partial and not self.rest
 
     def due(self, s):
         """When the sweep is to end it; None while a query is open."""
+        if self.parting:
+            return self.since + s.linger_s
         if self.rest:
             return self.since + s.send_s
         if self.query is not None:
@@ -52,8 +63,15 @@
         if not data:
             self.front.close(self)
             return
+        if self.closing:
+            self.away += len(data)
+            if self.parting and self.away > AWAY:
+                self.front.close(self)
+            return
         if self.query is not None:
             self.ahead += len(data)
+            if self.ahead > AHEAD:
+                return                         # never read: the open request's answer is the last one here
         elif not self.partial:
             self.partial, self.since = True, at
         self.http.receive_data(data)
@@ -113,7 +131,7 @@
 
     def answer(self, status, body, kind=JSON, retry_after_us=0, close=False):
         """The one answer to the request at hand."""
-        close = close or self.front.stopping
+        close = close or self.front.stopping or self.ahead > AHEAD
         headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
         if retry_after_us:
             headers.append(("Retry-After", f"{retry_after_us / 1e6:.3f}"))
@@ -129,7 +147,7 @@
             self.http.start_next_cycle()
         self.send(data)
         if self.closing and not self.rest:
-            self.front.close(self)
+            self.front.part(self)
 
     def fail(self, status, text):
         """An error for what cannot be read, and the end of the connection: what follows on it means nothing."""
@@ -143,7 +161,7 @@
 
     def through(self):
         if self.closing:
-            self.front.close(self)
+            self.front.part(self)
         else:
             self.front.drive(self, self.advance)
 
@@ -156,7 +174,8 @@
 
     def __init__(self, core, config, network, log, share, ready):
         self.core, self.config, self.network, self.log, self.share, self.ready = core, config, network, log, share, ready
-        self.clients, self.names, self.stopping = {}, set(), False      # clients: in the order they came
+        self.clients, self.names = {}, set()             # clients: in the order they came
+        self.stopping, self.ends = False, math.inf       # ends: when all has to be answered
         self.counts = {"connections": 0, "requests": 0, "bad": 0, "shed": 0, "slow": 0}
 
     async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
@@ -173,11 +192,17 @@
         self.log.error("a connection cannot be taken", error=str(error))
 
     def shed(self):
-        """Past the share of clients, the longest idle goes; where all are busy, the newest."""
-        if len(self.clients) > self.share.clients:
-            idle = [(client.since, client) for client in self.clients if client.idle]
-            for client in shares.spare(idle, len(self.clients), self.share.clients):
+        """Past the share of clients some go (decisions/shares.py); what has asked nothing yet is told so, at least."""
+        idle = [(client.parting, client.served, client.since, client) for client in self.clients if client.idle]
+        for client in shares.spare(idle, len(self.clients), self.share.clients):
+            if len(self.clients) <= self.share.clients:
+                break
+            if client.parting:
+                self.close(client)
+            elif self.unasked(client):
                 self.counts["shed"] += 1
+                if not client.served:
+                    client.fail(503, "too many connections")
                 self.close(client)
 
     async def connection(self, stream):
@@ -185,25 +210,43 @@
         client = Client(self, stream)
         self.clients[client] = None
         self.counts["connections"] += 1
-        self.shed()
-        if client.dead:
-            return
         self.network.prepare(stream)
+        if len(self.clients) > self.share.clients:
+            self.shed()
         try:
             while not client.dead:
-                if client.query is not None and client.ahead > AHEAD:
-                    await trio.sleep(0.01)           # bounded: a client that sends on is not heard until answered
-                    continue
-                data, at = await self.network.receive(stream, READ)
-                if not client.dead:
-                    self.drive(client, client.feed, data, at)
+                most = READ
+                if client.parting or client.ahead > AHEAD:
+                    await trio.sleep(0.01)           # bounded: what is thrown away anyway costs others little
+                    most = AWAY
+                data, at = await self.network.receive(stream, most)
+                if client.dead:
+                    break
+                if data and client.query is None:
+                    # Who has left behind a request is not worked for: the end of it is seen before it is begun.
+                    more = self.network.receive_now(stream, READ)
+                    data = data + (more or b"") if more != b"" else b""
+                self.drive(client, client.feed, data, at)
         except GONE:
             pass
         except Exception as error:
-            # A defect of the root's must cost this connection, not every client of this root.
-            self.log.error("unexpected error", error=repr(error))
+            self.broken(client, error)
         self.close(client)
 
+    def broken(self, client, error):
+        """A defect of the root's must cost this connection, not every client of this root; what was taken is answered."""
+        self.log.error("unexpected error", error=repr(error))
+        try:
+            if client.query is not None:
+                query, client.query = client.query, None
+                self.names.discard(client.name)
+                self.core.gone(query)
+            client.fail(500, "unexpected error")
+        except Exception as again:
+            self.log.error("unexpected error", error=repr(again))
+        if not client.parting:
+            self.close(client)
+
     def drive(self, client, step, *args):
         """Goes on with a client's protocol; what cannot be read ends the connection with an error."""
         try:
@@ -213,6 +256,26 @@
         except h11.RemoteProtocolError as error:
             client.fail(error.error_status_hint, str(error))
 
+    def part(self, client):
+        """Its last answer is out: nothing more is said."""
+        if client.dead:
+            return
+        client.parting, client.since = True, trio.current_time()
+        try:
+            self.network.end(client.stream)
+        except GONE:
+            self.close(client)
+
+    def unasked(self, client):
+        """Whether an idle connection may be closed: not if something has come on it that is not read yet."""
+        try:
+            data = self.network.receive_now(client.stream, READ)
+        except GONE:
+            return True
+        if data:
+            self.drive(client, client.feed, data, trio.current_time())
+        return not data
+
     def close(self, client):
         if client.dead:
             return
@@ -228,7 +291,8 @@
 
     def ask(self, client, query, headers, body):
         """Hands a request to the core."""
-        name, request = requests.read(query, headers, body, int(client.at * 1e6), self.core.settings, self.config.shards)
+        name, request = requests.read(query, headers, body, int(client.at * 1e6), self.core.settings, self.config.shards,
+                                      self.ends * 1e6)
         if name in self.names:
             raise requests.BadRequest(409, "X-Request-ID: that request is open")
         self.counts["requests"] += 1
@@ -236,7 +300,10 @@
         def finished(outcome):
             self.names.discard(name)
             found, client.query = client.query, None
-            self.finish(client, found, outcome)
+            try:
+                self.finish(client, found, outcome)
+            except Exception as error:
+                self.broken(client, error)           # else this turn of the core would end, and all that it holds
 
         try:
             client.query = self.core.begin(request, finished)
@@ -267,15 +334,18 @@
                 due = client.due(self.share)
                 if due is not None and due <= now:
                     self.counts["slow"] += not client.served
-                    if client.partial:
+                    if client.partial and not client.closing:
                         client.fail(408, "the request did not come whole in time")
-                    else:
+                    elif client.rest or client.parting or self.unasked(client):
                         self.close(client)
 
-    def stop(self):
-        """No new connections, and none that is idle; what was taken is answered, each with its close."""
-        self.stopping = True
+    def stop(self, listeners):
+        """No new connections but those that wait already, and none that is idle; what was taken is answered, each with
+        its close."""
         self.accepting.cancel()
+        for listener in listeners:
+            while (stream := self.network.accept_now(listener)) is not None:
+                self.nursery.start_soon(self.connection, stream)
         for client in list(self.clients):
-            if client.idle and client.served:
+            if client.idle and client.served and not client.parting and self.unasked(client):
                 self.close(client)
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -77,8 +77,8 @@
     return None
 
 
-def read(query, headers, body, arrived_us, settings, shards):
-    """(id, Request) of a client's request; BadRequest if it may not run."""
+def read(query, headers, body, arrived_us, settings, shards, ends_us=math.inf):
+    """(id, Request) of a client's request, to be answered by `ends_us` at the latest; BadRequest if it may not run."""
     h = chosen(headers)
     name = h.get("x-request-id", "")
     if not WORD.fullmatch(name):
@@ -106,7 +106,7 @@
     text = asked.predicate.encode("utf-8", "surrogatepass")
     parts = tuple(PartSpec(r.range, r.portion, cost(r.price), Payload(f"{name}.{r.range}", key, text))
                   for r in asked.ranges)
-    return name, Request(kind.name, tenant, sid(query), arrived_us + int(timeout) * 1000, parts,
+    return name, Request(kind.name, tenant, sid(query), int(min(arrived_us + int(timeout) * 1000, ends_us)), parts,
                          h.get("x-retried") == "1")
 
 
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -4,26 +4,24 @@
 
 import trio
 
-from mothnotch.decisions.shares import shares
+from mothnotch.decisions.shares import LAST_S, shares
 from mothnotch.node.calls import Calls
 from mothnotch.node.config import ConfigError, load
 from mothnotch.node.discovery import Watch
 from mothnotch.node.front import Front
 from mothnotch.root.core import Core
 
-DRAIN_S = 30.0                   # open queries end by their own time long before
-
 
 class NodeRoot:
     def __init__(self, config, network, log, path=None):
         self.config, self.network, self.log, self.path = config, network, log, path
         s = config.settings
-        self.share = shares(config.limits.sockets, config.idle_us)
+        self.share = shares(config.limits.sockets, config.idle_us, max(c.deadline_us for c in s.classes.values()))
         self.calls = Calls(network, log, config.streams, s.parts_per_call, self.share.leaf_connections,
-                           self.share.leaf_idle_s, (s.limits.connect_timeout_us or 1_000_000) / 1e6)
+                           self.share.leaf_idle_s, (s.limits.connect_timeout_us or 1_000_000) / 1e6, s.limits.second_copies)
         self.core = Core(s, config.seed, self.calls, log, most_open=config.most_open)
         self.watch = Watch(network, config.discovery, self.core, self.calls, log, Random(config.seed).random)
-        self.front = Front(self.core, config, network, log, self.share, lambda: self.watch.listed)
+        self.front = Front(self.core, config, network, log, self.share, self.watch.ready)
         self.addresses = []
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
@@ -38,6 +36,9 @@
             await self.nursery.start(self.front.run, self.listeners)
             self.log.info("serving", name=self.config.name, addresses=self.addresses)
             task_status.started(self)
+        taken, ends, left = self.core.unanswered()
+        if taken != ends:
+            self.log.error("taken and not answered", taken=taken, ends=ends, queries=left)
         self.log.info("stopped", **self.counts())
 
     def counts(self):
@@ -56,12 +57,15 @@
 
     async def stop(self):
         """Goes on accepting for as long as clients may still come, then finishes what was taken, and ends."""
-        self.front.stopping = True
-        await trio.sleep(self.share.stopping_s)
-        self.front.stop()
+        if self.front.stopping:
+            return
+        began = trio.current_time()
+        self.front.stopping, self.front.ends = True, began + self.share.ending_s
+        await trio.sleep_until(began + self.share.stopping_s)
+        self.front.stop(self.listeners)
         for listener in self.listeners:
             await listener.aclose()
-        with trio.move_on_after(DRAIN_S):
+        with trio.move_on_at(self.front.ends + LAST_S):
             while self.front.clients:
                 await trio.sleep(0.02)
         self.nursery.cancel_scope.cancel()
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from mothnotch.decisions import coverage
+from mothnotch.decisions import coverage, shares
 from mothnotch.decisions import interface as i
 from mothnotch.decisions.balance import Balancer
 from mothnotch.decisions.outcomes import Final
@@ -136,7 +136,7 @@
                    i.Disconnect: self.on_disconnect, i.Subscribe: self.on_subscribe, i.Log: self.on_log}
         self.subscribe = trio.Event()              # set when the module asks for the list again
         self.counts = {"queries": 0, "answered": 0, "refused": 0, "failed": 0, "gone": 0, "sends": 0, "turns": 0,
-                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0, "full": 0}
+                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0, "full": 0, "broken": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
         self.guard = True                          # watches over the client's time; off only to test the auditor
@@ -248,8 +248,11 @@
                 with trio.move_on_at((self.next_time() + 2) / 1e6):
                     await self.woken.wait()
             # One more pass of the scheduler, so that what became ready together shares a turn, and what has come
-            # is read before the time is told.
+            # is read before the time is told; another after a stall, or who left during it would be worked for.
+            began = trio.current_time()
             await trio.lowlevel.checkpoint()
+            if trio.current_time() - began > shares.STALLED_S:
+                await trio.lowlevel.checkpoint()
             self.turn()
             self.watch_ends()
 
@@ -280,18 +283,51 @@
             return
         self.counts["turns"] += 1
         begun = self.clock() if self.clock else 0
-        actions = self.balancer.handle(now, events)
+        coming = iter(events)
+        try:
+            actions, broken = self.balancer.handle(now, coming), ()
+        except Exception as error:
+            # A defect must cost the query that met it, not all that this root has taken.
+            self.log.error("unexpected error in the module", error=repr(error), exc_info=True)
+            actions, broken = self.balancer.actions, self.met(events, coming)
         if self.clock:
             self.busy_s += self.clock() - begun
         self.sends = {}
         for action in actions:
             self.on[type(action)](action)
+        for query in broken:
+            if query.outcome is None:
+                self.counts["broken"] += 1
+                ran = any(part.sends for part in query.parts)
+                self.leave(query, Outcome(Final.FAILED if ran else Final.REFUSED, may_have_run=ran))
         self.sweep()
         for server, attempts in self.sends.items():
             if attempts:
                 self.leaves.send(server, attempts)
         self.sends = {}
 
+    def met(self, events, coming):
+        """The queries that an error in the module met: of the event at which it stopped, and those that arrived in this
+        turn, as none of them was begun. What it had not come to is its next turn's."""
+        left = list(coming)
+        self.events = left + self.events
+        heapq.heappush(self.wakes, self.now + self.settings.tick_us)     # it asked for none
+        found, taken = {}, events[:len(events) - len(left)]
+        for event in taken:
+            if event is taken[-1] or type(event) in (i.QueryArrived, i.PartArrived):
+                part = self.parts.get(getattr(event, "part", None))
+                query = self.queries.get(getattr(event, "query", None)) or part and part.query
+                if query is not None:
+                    found[query.id] = query
+        return list(found.values())
+
+    def unanswered(self):
+        """(queries taken, final answers given, ids of what is open: 20 at most). A root that ends with the first two
+        unlike owes somebody an answer."""
+        c = self.counts
+        ends = sum(c[name] for name in ("answered", "refused", "failed", "gone", "overdue", "faults", "broken"))
+        return c["queries"], ends, list(itertools.islice(self.queries, 20))
+
     # ---- actions ----
 
     def on_send(self, action):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -123,6 +123,8 @@
         with trio.fail_after(3):
             got = await client.answer()
             assert got is None or got[0] == 408
+            assert not await client.more()              # the root's end of it
+        await trio.sleep(day.root.share.linger_s + 0.3)  # a close at once could destroy the 408
         assert not day.root.front.clients and not day.world.record.seen
 
     play(test)
@@ -132,6 +134,7 @@
 def test_a_HEAD_gets_a_head_and_no_body(path, status):
     async def test(day):
         client = await day.client()
+        await trio.sleep(0.05)                          # the agent's list makes it ready
         await client.say(f"HEAD {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
         await trio.sleep(0.1)
         await client.more()
