--- a/mothnotch/decisions/interface.py
+++ b/mothnotch/decisions/interface.py
@@ -211,6 +211,7 @@
     part: str
     server: str
     limit_us: int
+    until_us: float = math.inf     # it may leave the root until then: later it could be a second effect
 
 
 @dataclass(slots=True, frozen=True)
--- a/mothnotch/leaves/connection.py
+++ b/mothnotch/leaves/connection.py
@@ -204,6 +204,8 @@
         if len(kept) > ANSWER_LIMIT or self.held > ANSWER_LIMIT:
             return self.roll_back(ErrorFields("ERROR", "54000", f"the answer of a write would pass {ANSWER_LIMIT} "
                                               "bytes; nothing was changed", hint="Return fewer rows."))
+        if self.attempt.too_late:                      # while its statements ran: past this they might take effect twice
+            return self.roll_back(None)
         self.step, self.committing, self.attempt.part.committing = self.committed, True, True
         return self.statement(ANSWER_SQL, self.payload.key, kept) + self.statement("COMMIT") + client.SYNC
 
@@ -213,6 +215,9 @@
 
     def rolled_back(self, status):
         self.over = True
+        if self.failure is None:
+            self.attempt.end(i.Result.UNSENT)
+            return b""
         whose, result = outcomes.of_error(self.failure.sqlstate)
         if whose is outcomes.Fault.QUERY or self.failure.sqlstate == outcomes.COUNT_MOVED[0]:
             self.attempt.fault(self.failure)
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -174,6 +174,11 @@
             call.exchange.lost(i.Result.UNSENT)
             self.release(connection)
             return
+        if any(attempt.too_late for attempt in call.live):
+            # The time in which leaves drop a repeat has passed while the connection was made.
+            call.exchange.lost(i.Result.UNSENT)
+            self.release(connection)
+            return
         call.connection, connection.call = connection, call
         went = int(trio.current_time() * 1e6)
         for attempt in call.exchange.attempts:
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -39,7 +39,7 @@
         self.calls, self.leaf, self.address, self.reader = calls, leaf, leaf.address, frames.Reader()
         self.out, self.spent = {}, {}        # wire id -> attempt; ids given up whose answer may still come
         self.waiting = []                    # attempts none of whose bytes has left: no connection yet, or a full socket
-        self.given, self.ends = 0, deque()   # bytes the socket took; (offset of a frame's end, attempts) still to come
+        self.given, self.ends = 0, deque()   # bytes the socket took; (a frame's first, its end, attempts) to come
         self.probes = deque()                # (sent_us, post) of the probes out
         self.idle_since, self.no_more, self.heard_us = trio.current_time(), False, 0
 
@@ -49,7 +49,7 @@
 
     def go_on(self):
         """Sends what waits, as far as the socket takes it: the last point at which an attempt may be held back."""
-        while self.waiting and self.stream is not None and not self.rest and not self.dead:
+        while self.waiting and self.stream is not None and not self.sending and not self.dead:
             most = self.calls.per_call
             attempts, self.waiting = self.waiting[:most], self.waiting[most:]
             self.calls.write(self, attempts)
@@ -57,12 +57,31 @@
     def through(self):
         self.go_on()
 
+    def take_back(self):
+        """A frame that met a full socket, and of which nothing has left, waits as attempts again."""
+        if self.ends and self.ends[0][0] == self.given and not self.dead:
+            begins, ends, attempts = self.ends.popleft()
+            del self.rest[:ends - begins]
+            for attempt in attempts:
+                del self.out[attempt.call.wire_id]
+            self.waiting[:0] = attempts
+
+    def withdrawn(self):
+        """Of a frame that is partly out none may run: if any of it may not go any more, the connection goes."""
+        self.take_back()
+        now = trio.current_time()
+        if not any(self.calls.held_back(attempt, now) for _, _, attempts in self.ends for attempt in attempts):
+            return False
+        self.calls.counts["held_back"] += 1
+        self.calls.lost(self)
+        return True
+
     def took(self, n):
         """Frames that are out whole may run from now on."""
         self.given += n
-        while self.ends and self.ends[0][0] <= self.given:
+        while self.ends and self.ends[0][1] <= self.given:
             went = int(trio.current_time() * 1e6)
-            for attempt in self.ends.popleft()[1]:
+            for attempt in self.ends.popleft()[2]:
                 attempt.went_us, attempt.call.went = went, True
 
     def lost(self):
@@ -128,6 +147,7 @@
     def withdraw(self, leaf):
         """What was decided before the news and has not left is decided anew."""
         for link in list(leaf.links):
+            link.take_back()
             waiting, link.waiting = link.waiting, []
             for attempt in waiting:
                 attempt.end(i.Result.UNSENT)
@@ -191,27 +211,31 @@
                 return link
         return None
 
+    @staticmethod
+    def held_back(attempt, now, takes_new=True):
+        """How an attempt that has waited ends if it may not go (on) any more, else None. A drain counts from a frame's
+        first byte: for one that is partly out nothing is asked of the leaf."""
+        return links.held_back(takes_new, attempt.over, attempt.until_us / 1e6 - now, attempt.deadline - now)
+
     def write(self, link, attempts):
         """Writes one call's frame, of those that may still go."""
         now, parts, going = trio.current_time(), [], []
         for attempt in attempts:
             if attempt.ended:
                 continue
-            left_s = attempt.deadline - now
-            end = links.held_back(link.leaf.takes_new and link.address == link.leaf.address,
-                                  attempt.part.query.outcome is not None, left_s)
+            end = self.held_back(attempt, now, link.leaf.takes_new and link.address == link.leaf.address)
             if end is not None:
                 self.counts["held_back"] += 1
                 attempt.end(end)
                 continue
             link.out[attempt.call.wire_id] = attempt
             going.append(attempt)
-            parts.append((attempt.call.wire_id, attempt.part.spec.shard, max(1, int(left_s * 1000)), attempt.payload.key,
-                          attempt.payload.text))
+            parts.append((attempt.call.wire_id, attempt.part.spec.shard, max(1, int((attempt.deadline - now) * 1000)),
+                          attempt.payload.key, attempt.payload.text))
         if going:
             self.counts["frames"] += 1
             data = frames.call(parts)
-            link.ends.append((link.given + len(data), going))
+            link.ends.append((link.given, link.given + len(data), going))
             link.send(data)
 
     # ---- answers ----
@@ -237,6 +261,9 @@
             self.log.warning("leaf broke the protocol", leaf=link.leaf.name, error=str(error))
         except GONE:
             pass
+        except Exception as error:
+            # A defect of the root's must cost this connection's parts, not every client of this root.
+            self.log.error("unexpected error", leaf=link.leaf.name, error=repr(error), exc_info=True)
         self.lost(link)
 
     def take(self, link, letter, rest, at_us):
@@ -273,6 +300,7 @@
     def give_up(self, ticket, attempt):
         """Nobody waits for an attempt any more: the leaf is told, unless its frame never left."""
         link, wire_id = ticket.link, ticket.wire_id
+        link.take_back()
         if attempt in link.waiting:
             link.waiting.remove(attempt)
             return
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -91,7 +91,10 @@
         with scope:
             try:
                 await self.follow(scope)
-            except BROKEN as error:
+            except Exception as error:
+                if not isinstance(error, BROKEN):
+                    # A defect of the root's must cost this watch, not every client of this root.
+                    self.log.error("unexpected error", address=self.address, error=repr(error), exc_info=True)
                 if scope in self.standing:
                     self.standing.remove(scope)
                     self.end(scope, f"{type(error).__name__}: {error}")
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -6,8 +6,8 @@
 sweep watches over all of them.
 
 How a connection ends: `part` after a last answer (nothing more is said, what still comes is read for a while: a close
-with bytes unread would be a reset, and could destroy that answer), `let_go` between requests (not if one has come
-meanwhile), `close` at once. A client's end of sending counts as its leaving.
+with bytes unread would be a reset, and could destroy that answer), `close` between requests (not if one has come
+meanwhile: `unasked`), or at once. A client's end of sending counts as its leaving.
 """
 import math
 
@@ -117,7 +117,7 @@
     def whole(self):
         """A whole request is in."""
         head, body, self.head, self.body = self.head, self.body, None, bytearray()
-        self.partial, self.ahead = False, 0
+        self.partial, self.ahead = False, len(self.http.trailing_data[0])      # what came with it counts for the next
         path, _, query = head.target.decode("latin-1").partition("?")
         if path == "/api" and head.method == b"POST":
             self.front.ask(self, query, head.headers, bytes(body))
--- a/mothnotch/outgoing.py
+++ b/mothnotch/outgoing.py
@@ -9,16 +9,18 @@
 
 
 class Outgoing:
-    """One direction of a connection. `rest`: bytes that the socket has not taken yet; `dead`: nothing is sent any more."""
+    """One direction of a connection. `rest`: bytes that the socket has not taken yet; `sending`: a task waits to send
+    them, also if they were taken back meanwhile; `dead`: nothing is sent any more."""
 
-    __slots__ = ("network", "nursery", "stream", "rest", "dead")
+    __slots__ = ("network", "nursery", "stream", "rest", "sending", "dead")
 
     def __init__(self, network, nursery, stream):
-        self.network, self.nursery, self.stream, self.rest, self.dead = network, nursery, stream, bytearray(), False
+        self.network, self.nursery, self.stream, self.rest = network, nursery, stream, bytearray()
+        self.sending = self.dead = False
 
     def send(self, data):
         """Sends what the socket takes at once; a task sends the rest, if any."""
-        if self.rest:
+        if self.sending:
             self.rest += data
             return
         try:
@@ -29,6 +31,7 @@
         self.took(n)
         if n < len(data):
             self.rest += data[n:]
+            self.sending = True
             self.nursery.start_soon(self.send_rest)
 
     async def send_rest(self):
@@ -36,12 +39,14 @@
             while self.rest and not self.dead:
                 await self.stream.wait_send_all_might_not_block()
                 if self.dead or self.withdrawn():
+                    self.sending = False
                     return
                 n = self.network.send_now(self.stream, bytes(self.rest))
                 del self.rest[:n]
                 self.took(n)
         except GONE:
             self.lost()
+        self.sending = False
         if not self.dead:
             self.through()
 
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -24,10 +24,12 @@
 class Attempt:
     """One send of a part. The leaf's driver calls `end` once; a later call does nothing."""
 
-    __slots__ = ("part", "n", "server", "limit_us", "sent_us", "went_us", "rows", "ended", "call", "core", "spool")
+    __slots__ = ("part", "n", "server", "limit_us", "until_us", "sent_us", "went_us", "rows", "ended", "call", "core",
+                 "spool")
 
-    def __init__(self, core, part, n, server, limit_us):
+    def __init__(self, core, part, n, server, limit_us, until_us=math.inf):
         self.core, self.part, self.n, self.server, self.limit_us = core, part, n, server, limit_us
+        self.until_us = until_us                   # it may not leave the root later
         self.sent_us, self.rows, self.ended, self.call, self.spool = now_us(), None, False, None, None
         self.went_us = self.sent_us                # when its bytes went out
 
@@ -40,6 +42,16 @@
         """When it times out, in trio's seconds."""
         return (self.sent_us + self.limit_us) / 1e6
 
+    @property
+    def too_late(self):
+        """Whether it may not leave the root any more, nor take effect: an earlier one may have run, its window is over."""
+        return now_us() > self.until_us
+
+    @property
+    def over(self):
+        """Whether nobody needs it any more: its part is in, by another attempt, or its query has had its answer."""
+        return self.part.rows is not None or self.part.query.outcome is not None
+
     def keep(self, row, size):
         """Keeps a row that came for this attempt, if anybody wants it (any more)."""
         query = self.part.query
@@ -294,7 +306,7 @@
             self.busy_s += self.clock() - begun
         self.sends = {}
         for action in actions:
-            self.on[type(action)](action)
+            self.carry(self.on[type(action)], action)
         for query in broken:
             if query.outcome is None:
                 self.counts["broken"] += 1
@@ -303,9 +315,17 @@
         self.sweep()
         for server, attempts in self.sends.items():
             if attempts:
-                self.leaves.send(server, attempts)
+                self.carry(self.leaves.send, server, attempts)
         self.sends = {}
 
+    def carry(self, step, *args):
+        """Carries out a part of a turn. A defect there costs what it met: attempts have their time-outs, and queries their
+        watch over the client's time; the turn and the root go on."""
+        try:
+            step(*args)
+        except Exception as error:
+            self.log.error("unexpected error in a turn", error=repr(error), exc_info=True)
+
     def met(self, events, coming):
         """The queries that an error in the module met: of the event at which it stopped, and those that arrived in this
         turn, as none of them was begun. What it had not come to is its next turn's."""
@@ -332,7 +352,7 @@
 
     def on_send(self, action):
         part = self.parts[action.part]
-        attempt = Attempt(self, part, part.sends, action.server, action.limit_us)
+        attempt = Attempt(self, part, part.sends, action.server, action.limit_us, action.until_us)
         part.out[part.sends] = attempt
         part.sends += 1
         if part.query.outcome is not None:
--- a/tests/test_root_faults.py
+++ b/tests/test_root_faults.py
@@ -1,8 +1,11 @@
 """Faults that issue after issue must not bring back: stalls inside COMMIT, clients that leave, hung leaves, bad rosters."""
+import dataclasses
+
 import pytest
 import trio
 
 from mothnotch import demo
+from mothnotch.decisions import interface as i
 from mothnotch.pgwire import backend as b
 from mothnotch.pgwire import client as wire
 from tests.virtual import play
@@ -327,6 +330,35 @@
     play(test)
 
 
+@pytest.mark.parametrize("where", ["connection", "commit"])
+def test_a_write_whose_time_for_a_repeat_has_passed_takes_no_effect(where):
+    """It passes while the connection for it is made, or while its statements run."""
+    async def test(world):
+        core, opened = world.root.core, world.network.open
+
+        async def open_slowly(address):
+            await trio.sleep(0.5)
+            return await opened(address)
+
+        c = await world.client()
+        if where == "commit":
+            await warm(c, 10)                          # there are connections
+            for leaf in world.fleet.leaves.values():
+                leaf.trouble.slow = 100.0
+        else:
+            world.network.open = open_slowly
+        on_send = core.on[i.Send]
+        core.on[i.Send] = lambda send: on_send(dataclasses.replace(send, until_us=core.now + 100_000))
+        before = len(world.seen)
+        assert (await c.query(HOLD)).error is not None
+        await trio.sleep(5)
+        came = world.seen[before:]
+        assert holds(world) == 0 and not [s for s in came if s.what == "commit" or "COMMIT" in s.text]
+        assert bool(came) == (where == "commit")
+
+    play(test)
+
+
 def test_part_of_a_client_that_left_is_not_sent_with_the_rest_of_its_call():
     async def test(world):
         one, other = await world.client(), await world.client()
