--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -391,7 +391,6 @@
         if server.idle_us >= IDLE_US and (lost > SUSPECT_FAILS or part.query.kind.repeat is Repeat.UNSAFE):
             self.act(i.Disconnect(server.id))
             server.idle_us = 0
-        until = self.until(part)
         attempt = state.Attempt(part, server, self.now, admitted)
         self.attempts[part.id, attempt.n] = attempt
         server.work.add(self.now, part.cost + self.s.call_work_us)
@@ -402,20 +401,17 @@
         wait = max(patience, min(MOVE * usual, aim)) if self.s.rules.budget_share is None else patience
         # Where nothing can be cancelled, a time-out is the only way to leave a stuck attempt.
         limit = part.query.end - self.now if self.s.limits.cancel or not self.may_repeat(part) else patience
-        self.act(i.Send(part.id, server.id, max(self.s.tick_us, limit), until))
+        repeat_us = part.query.kind.repeat_us - self.s.tick_us
+        self.act(i.Send(part.id, server.id, max(self.s.tick_us, limit), repeat_us))
         self.later(wait, self.review, attempt)
 
     def best(self, servers, kind):
         return min(servers, key=lambda h: (h.suspect(self.now, kind), h.expect(self.now, kind)), default=None)
 
-    def until(self, part):
-        """Until when the part's next attempt may leave the root, given what may have run."""
-        return part.query.kind.repeat_until(part.risks) - self.s.tick_us if part.risks else math.inf
-
     def may_repeat(self, part):
         """Whether the rules let this part have one more attempt now."""
         return ((self.s.limits.max_attempts is None or len(part.tried) < self.s.limits.max_attempts)
-                and self.now <= self.until(part)
+                and self.now <= min(part.risks, default=math.inf) + part.query.kind.repeat_us - self.s.tick_us
                 and (self.s.rules.budget_share is None or self.spare() >= 1 + NEAR))
 
     def review(self, attempt):
--- a/mothnotch/decisions/interface.py
+++ b/mothnotch/decisions/interface.py
@@ -66,10 +66,11 @@
         """The least weight with which any answer may be given."""
         return min(self.floor, self.whole_at)
 
-    def repeat_until(self, sends_us):
-        """When the rules let a part go again last, given the sends that may have run."""
+    @property
+    def repeat_us(self):
+        """For how long after a send that may have run the rules let a part go again; 0: not at all."""
         if self.repeat is Repeat.KEYED:
-            return min(sends_us) + (self.repeat_window_us or 0)
+            return self.repeat_window_us or 0
         return math.inf if self.repeat is Repeat.SAFE else 0
 
     def aim_of(self, cost_us):
@@ -211,7 +212,7 @@
     part: str
     server: str
     limit_us: int
-    until_us: float = math.inf     # it may leave the root until then: later it could be a second effect
+    repeat_us: float = math.inf    # it may leave so long after another of its part that may have run
 
 
 @dataclass(slots=True, frozen=True)
--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -27,6 +27,34 @@
         return heard_us < sent_us and self.usual_us is not None and now_us - sent_us >= PATIENCE * self.usual_us
 
 
+class Places:
+    """Which places for parts on a connection may still be taken by parts given up there.
+
+    A leaf reads so many parts of a connection and lets any beyond wait unread, with all that comes behind them. So a part
+    that would wait is no part sent: it would go to a leaf that drains, past its window, or as a second copy, once it is
+    read. The word that a part is given up frees its place once the leaf has read it, and nothing says when: at the latest
+    by an answer to what was written behind that word. Guards against that wait. Harm: where nothing is answered any more,
+    a connection takes no more parts after as many as it has places for, and another is opened."""
+
+    def __init__(self):
+        self.written, self.held = 0, {}      # calls written; id given up -> calls written before the word
+
+    def wrote(self):
+        """The number of the call that is written now."""
+        self.written += 1
+        return self.written
+
+    def gave_up(self, wire_id):
+        self.held.pop(wire_id, None)
+        self.held[wire_id] = self.written
+
+    def answered(self, wire_id, number=0):
+        """An answer came: to something given up, or to what is out in the call of that number."""
+        self.held.pop(wire_id, None)
+        while self.held and self.held[first := next(iter(self.held))] < number:
+            del self.held[first]
+
+
 def held_back(takes_new, over, repeat_s, left_s):
     """How an attempt ends that has waited and may not go out any more; None if it may. Asked at the last point before
     its first byte leaves: of the leaf, told to drain or gone or at another address by now; of whether it is over, as its
--- a/mothnotch/leaves/pool.py
+++ b/mothnotch/leaves/pool.py
@@ -182,7 +182,7 @@
         call.connection, connection.call = connection, call
         went = int(trio.current_time() * 1e6)
         for attempt in call.exchange.attempts:
-            attempt.went_us = went
+            attempt.went(went)
         connection.unsent = True
         connection.send(call.exchange.begin())
 
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -24,14 +24,14 @@
 class Attempt:
     """One send of a part. The leaf's driver calls `end` once; a later call does nothing."""
 
-    __slots__ = ("part", "n", "server", "limit_us", "until_us", "sent_us", "went_us", "rows", "ended", "call", "core",
+    __slots__ = ("part", "n", "server", "limit_us", "repeat_us", "sent_us", "went_us", "rows", "ended", "call", "core",
                  "spool")
 
-    def __init__(self, core, part, n, server, limit_us, until_us=math.inf):
+    def __init__(self, core, part, n, server, limit_us, repeat_us=math.inf):
         self.core, self.part, self.n, self.server, self.limit_us = core, part, n, server, limit_us
-        self.until_us = until_us                   # it may not leave the root later
+        self.repeat_us = repeat_us                 # for how long after another that may have run it may go out
         self.sent_us, self.rows, self.ended, self.call, self.spool = now_us(), None, False, None, None
-        self.went_us = self.sent_us                # when its bytes went out
+        self.went_us = self.sent_us                # when its bytes went out, once they have
 
     @property
     def payload(self):
@@ -42,10 +42,19 @@
         """When it times out, in trio's seconds."""
         return (self.sent_us + self.limit_us) / 1e6
 
+    def went(self, at_us):
+        """Its bytes are out: from now on it may run."""
+        self.went_us = self.part.went[self.n] = at_us
+
+    @property
+    def repeat_until_us(self):
+        """Until when it may go out and take effect, given what of its part went out before and may have run."""
+        return min((at for n, at in self.part.went.items() if n != self.n), default=math.inf) + self.repeat_us
+
     @property
     def too_late(self):
-        """Whether it may not leave the root any more, nor take effect: an earlier one may have run, its window is over."""
-        return now_us() > self.until_us
+        """Whether it may not go out, nor take effect, any more: it could be a second effect."""
+        return now_us() > self.repeat_until_us
 
     @property
     def over(self):
@@ -83,6 +92,8 @@
             self.part.server, self.part.answered_us = self.server, now_us()
         else:
             self.part.last = result
+        if result in i.NEVER_RAN:
+            self.part.went.pop(self.n, None)
         if self.spool is not None:
             self.spool.close()
         del self.part.out[self.n]
@@ -103,6 +114,7 @@
     query: object
     sends: int = 0
     out: dict = field(default_factory=dict)        # attempts out, by number
+    went: dict = field(default_factory=dict)       # when those that may have run went out, by number
     rows: object = None
     took_us: int = 0                               # of the attempt that brought them
     server: str = ""                               # that brought them, and when
@@ -352,7 +364,7 @@
 
     def on_send(self, action):
         part = self.parts[action.part]
-        attempt = Attempt(self, part, part.sends, action.server, action.limit_us, action.until_us)
+        attempt = Attempt(self, part, part.sends, action.server, action.limit_us, action.repeat_us)
         part.out[part.sends] = attempt
         part.sends += 1
         if part.query.outcome is not None:
