--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -36,12 +36,12 @@
     return max(1, streams - 1)
 
 
-def held_back(takes_new, over, repeat_s, left_s):
+def held_back(takes_new, over, too_late, left_s):
     """How an attempt ends that has waited and may not go out any more; None if it may. Asked at the last point before
     its first byte leaves: of the leaf, told to drain or gone or at another address by now; of whether it is over, as its
-    client left or another attempt brought the part; of the time in which it may still be repeated; of the time it still
-    has. Guards against work for nobody and effects twice. Harm: none, none of it has run."""
-    if not takes_new or over or repeat_s < 0:
+    client left or another attempt brought the part; of whether it is too late for a repeat; of the time it still has. Guards
+    against work for nobody and effects twice. Harm: none, none of it has run."""
+    if not takes_new or over or too_late:
         return Result.UNSENT
     return Result.UNREACHABLE if left_s <= 0 else None
 
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -76,6 +76,12 @@
         self.calls.lost(self)
         return True
 
+    def drop_waiting(self, result):
+        """What waits ends so: none of it has left."""
+        waiting, self.waiting = self.waiting, []
+        for attempt in waiting:
+            attempt.end(result)
+
     def took(self, n):
         """Frames that are out whole may run from now on."""
         self.given += n
@@ -150,9 +156,7 @@
         """What was decided before the news and has not left is decided anew."""
         for link in list(leaf.links):
             link.take_back()
-            waiting, link.waiting = link.waiting, []
-            for attempt in waiting:
-                attempt.end(i.Result.UNSENT)
+            link.drop_waiting(i.Result.UNSENT)
 
     def retire(self, leaf):
         """Its connections carry nothing new, nor what waits for them; they go once nothing is out on them."""
@@ -167,7 +171,7 @@
             self.close_if_idle(link)
 
     def close_if_idle(self, link):
-        if link.stream is not None and not link.out and not link.waiting:
+        if link.stream is not None and not link.load:
             self.lost(link)
 
     # ---- sending ----
@@ -217,7 +221,7 @@
     def held_back(attempt, now, takes_new=True):
         """How an attempt that has waited ends if it may not go (on) any more, else None. A drain counts from a frame's
         first byte: for one that is partly out nothing is asked of the leaf."""
-        return links.held_back(takes_new, attempt.over, attempt.repeat_until_us / 1e6 - now, attempt.deadline - now)
+        return links.held_back(takes_new, attempt.over, attempt.too_late, attempt.deadline - now)
 
     def write(self, link, attempts):
         """Writes one call's frame, of those that may still go."""
@@ -342,9 +346,7 @@
         out, link.out = link.out, {}
         for attempt in out.values():
             attempt.end(i.Result.BROKEN if attempt.call.went else i.Result.UNREACHABLE)
-        waiting, link.waiting = link.waiting, []
-        for attempt in waiting:
-            attempt.end(i.Result.UNREACHABLE)
+        link.drop_waiting(i.Result.UNREACHABLE)
         while link.probes:
             sent_us, post = link.probes.popleft()
             post(i.ProbeEnded(link.leaf.name, i.Result.BROKEN, 0, None))
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -76,11 +76,11 @@
                     self.standing.append(scope)
                     self.renewal.opened(trio.current_time())
                     if len(self.standing) > self.renewal.most:
-                        self.end(self.standing[0], "others are asked in its place")
+                        self.end("others are asked in its place")
                         self.standing.pop(0).cancel()
                     nursery.start_soon(self.one, scope)
 
-    def end(self, scope, error):
+    def end(self, error):
         """A watch is over, not by its being cancelled for another's sake."""
         self.log.warning("the watch broke", address=self.address, error=error)
         self.renewal.broke(trio.current_time())
@@ -97,7 +97,7 @@
                     self.log.error("unexpected error", address=self.address, error=repr(error), exc_info=True)
                 if scope in self.standing:
                     self.standing.remove(scope)
-                    self.end(scope, f"{type(error).__name__}: {error}")
+                    self.end(f"{type(error).__name__}: {error}")
                     self.changed.set()
 
     def said(self, scope):
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -46,15 +46,12 @@
         """Its bytes are out: from now on it may run."""
         self.went_us = self.part.went[self.n] = at_us
 
-    @property
-    def repeat_until_us(self):
-        """Until when it may go out and take effect, given what of its part went out before and may have run."""
-        return min((at for n, at in self.part.went.items() if n != self.n), default=math.inf) + self.repeat_us
-
     @property
     def too_late(self):
-        """Whether it may not go out, nor take effect, any more: it could be a second effect."""
-        return now_us() > self.repeat_until_us
+        """Whether it may not go out, nor take effect, any more: given what of its part went out before and may have run, it
+        could be a second effect."""
+        others = [at for n, at in self.part.went.items() if n != self.n]
+        return bool(others) and now_us() > min(others) + self.repeat_us
 
     @property
     def over(self):
