Red tests: an unusable address, a log that cannot be written, words unread at full places

On: - a list that names the endpoint 'nonsense' ends every root that sends a part there: AddressError (a ValueError) leaves Calls.connect, whose except takes OSError alone, and ends the nursery (seen: exit status 1, 'Exceptions from Trio nursery', net.py parse_address, at the first query); - with standard error on /dev/full the root ends with status 1 before it listens: OSError out of Log.write at 'serving'; - four places: r0 given up while it runs, r3 sent behind r1 and r2; the leaf reads nothing more, 'n r1.0' lies unread and r1.0 begins at the other holder 0.47 s later (trace of the test; what 'links.places' leaves free counts parts out, not given up).

--- /dev/null
+++ b/mothnotch/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real root processes on loopback under overlapping faults, judged by invariants."""
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -83,7 +83,8 @@
                 assert found[0] == "n", found
 
 
-def ids(rest):
+def frames_of(rest):
+    """(wire id, shard, milliseconds told) of each part of a call."""
     found = []
     while rest:
         line, _, rest = rest.partition(b"\n")
@@ -93,6 +94,10 @@
     return found
 
 
+def ids(rest):
+    return [wire_id for wire_id, _, _ in frames_of(rest)]
+
+
 class Leaf:
     def __init__(self, name, cell, small):
         self.name, self.cell, self.small, self.sock = name, cell, small, listening(small)
@@ -190,6 +195,7 @@
         text = {"name": "n0", "listen": f"{HOST}:0", "discovery": address(self.agent.socket), "seed": "8c1f",
                 "known": {"rev": 40, "all": True, "targets": [self.target(leaf) for leaf in self.leaves]},
                 "limits": {"cores": 1, "memory_mb": 64, "sockets": changes.pop("sockets", 256)}, "settings": options(**changes)}
+        self.text = text
         self.config = node_config.read(json.dumps(text).encode())
         self.numbers = iter(range(1000))
 
@@ -205,6 +211,14 @@
         await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         return Watch(stream, head.split(b" ")[1].decode())
 
+    def address_of_agent(self):
+        return address(self.agent.socket)
+
+    def second_agent(self):
+        """The address of another agent, `other_agent`, that listens from now on."""
+        self.other_agent = trio.SocketListener(trio.socket.from_stdlib_socket(listening()))
+        return address(self.other_agent.socket)
+
     def client(self):
         return Client(self.root.addresses[0])
 
--- /dev/null
+++ b/tests/test_failing_calls.py
@@ -0,0 +1,61 @@
+"""System calls that fail for a moment, and input that cannot be used, over a real process of `run`."""
+import errno
+import signal
+
+import pytest
+import trio
+
+from mothnotch.standins.platform import request
+from tests.root_process import root_process
+from tests.test_ends import ids, real
+
+
+async def serve(link, after_s=0.0):
+    """Answers each part of a connection."""
+    while (found := await link.frame()) is not None:
+        for wire_id in ids(found[1]) if found[0] == "m" else ():
+            await link.good(wire_id, after_s=after_s)
+
+
+async def serve_leaf(root, leaf, after_s=0.0):
+    while True:
+        root.rig.nursery.start_soon(serve, await leaf.link(), after_s)
+
+
+def serve_all(root, after_s=0.0):
+    for leaf in root.rig.leaves:
+        root.rig.nursery.start_soon(serve_leaf, root, leaf, after_s)
+
+
+# ---- the list names an address that cannot be used ----
+
+@real
+@pytest.mark.parametrize("endpoint", ["nonsense", "a..b:80", "10.0.0.1:99999", ""])
+async def test_a_leaf_whose_address_cannot_be_used_costs_its_parts_and_no_root(tmp_path, endpoint):
+    async with root_process(tmp_path) as root:
+        home = root.home(0)
+        await root.rig.first.say(41, root.rig.target(home, where=endpoint) | {"endpoint": endpoint})
+        await trio.sleep(0.2)
+        serve_all(root)
+        client = root.client()
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        got = await client.answer()
+        assert got is not None and got[0] == 200, got      # by the shard's other holder
+        assert root.alive()
+
+
+# ---- the log cannot be written ----
+
+@real
+async def test_a_root_whose_log_cannot_be_written_starts_serves_and_stops(tmp_path):
+    """Standard error lies on a full disk from the start: ENOSPC on each line."""
+    async with root_process(tmp_path, stderr="/dev/full") as root:
+        serve_all(root)
+        client = root.client()
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        assert (await client.answer())[0] == 200
+        root.send_signal(signal.SIGTERM)
+        assert await root.ended() == 0
+
+
+# ---- calls that fail for a moment ----
