--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -94,11 +94,15 @@
         return time.time()
 
     async def open(self, address, source=None):
-        """A connected stream; OSError if none can be had. The caller bounds the wait. `source`: the host to come from."""
-        kind, *rest = parse_address(address)
-        if kind == "unix":
-            return await trio.open_unix_socket(rest[0])
-        return await trio.open_tcp_stream(*rest, local_address=source)
+        """A connected stream; OSError if none can be had, also where the address is none. The caller bounds the wait.
+        `source`: the host to come from."""
+        try:
+            kind, *rest = parse_address(address)
+            if kind == "unix":
+                return await trio.open_unix_socket(rest[0])
+            return await trio.open_tcp_stream(*rest, local_address=source)
+        except ValueError as error:                    # also UnicodeError, of a name that cannot be one of a host
+            raise OSError(errno.EINVAL, f"address {address!r} cannot be used: {error}") from error
 
     async def listen(self, address, backlog=1024):
         """A list of listeners, each with `accept`; port 0 picks one."""
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -216,7 +216,11 @@
     def link(self, leaf, ids):
         """A connection with room for such attempts, none of them of an id that an earlier answer may still come for."""
         for link in list(leaf.links):
-            if link.no_more or link.load + len(ids) > self.places:
+            if link.no_more or link.load + len(link.spent) + len(ids) > self.places:
+                # What was given up keeps its place until its leaf is done with it. With nothing else on it, the
+                # connection goes for the new one.
+                if not link.load and link.spent:
+                    self.lost(link, LeafClose.PLACES_TAKEN)
                 continue
             if not link.load and links.overdue(trio.current_time() - link.idle_since, self.idle_s):
                 self.lost(link, LeafClose.IDLE)
@@ -404,13 +408,22 @@
     # ---- connections ----
 
     async def connect(self, link):
+        """The task of a connection: makes it, sends what waits, and reads until it is gone."""
+        try:
+            await self.made(link)
+        except Exception as error:
+            # A defect of the root's, or what no list should name, must cost this connection's parts and no root.
+            self.log.error("unexpected error", leaf=link.leaf.name, error=repr(error), exc_info=True)
+            self.lost(link, LeafClose.DEFECT)
+
+    async def made(self, link):
         self.counts["connects"] += 1
         stream = None
         try:
             with trio.move_on_after(self.connect_s):
                 stream = await self.network.open(link.address)
-        except (OSError, trio.BrokenResourceError):
-            pass
+        except (OSError, trio.BrokenResourceError) as error:
+            self.log.warning("no connection to a leaf", leaf=link.leaf.name, error=str(error))
         if stream is None or link.dead:
             self.counts["connects_failed"] += 1
             if stream is not None:
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -58,4 +58,38 @@
         assert await root.ended() == 0
 
 
+@real
+@pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO, errno.EPIPE])
+async def test_a_log_that_fails_for_a_while_costs_its_lines_and_no_root(tmp_path, error):
+    async with root_process(tmp_path) as root:
+        serve_all(root)
+        root.control.fail("stderr", error, count=1000)
+        root.send_signal(signal.SIGHUP)                    # logs a line
+        await trio.sleep(0.2)
+        client = root.client()
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        assert (await client.answer())[0] == 200
+        root.control.calm()
+        root.send_signal(signal.SIGTERM)
+        assert await root.ended() == 0
+        assert '"stopped"' in root.log()
+
+
 # ---- calls that fail for a moment ----
+
+
+@real
+@pytest.mark.parametrize("call, error", [("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH),
+                                         ("connect", errno.EHOSTUNREACH), ("socket", errno.ENFILE),
+                                         ("socket", errno.ENOBUFS), ("setsockopt", errno.ENOBUFS)])
+async def test_a_connection_that_cannot_be_made_for_a_moment_costs_no_root_and_no_answer(tmp_path, call, error):
+    async with root_process(tmp_path) as root:
+        serve_all(root)
+        root.control.fail(call, error, count=2)
+        client = root.client()
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        got = await client.answer()
+        assert got is not None and got[0] in (200, 503), got
+        root.control.calm()
+        client.now(request("r2", "read", (0,), timeout_ms=4000))
+        assert (await client.answer())[0] == 200
