--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,50 @@
+"""Further attempts stay within their budget in the window in which they leave, not in that in which they were decided."""
+import pytest
+import trio
+
+from mothnotch.decisions import interface as i
+from mothnotch.standins.platform import request
+from tests.platform_day import options
+from tests.test_ends import ids, real, rig, until
+
+S = 1_000_000
+
+
+
+
+@real
+@pytest.mark.parametrize("wait_s", [1.3])
+async def test_further_attempts_that_waited_for_their_connections_do_not_leave_past_the_budget(wait_s):
+    """Ten parts are lost by a reset while a burst lies in the window; their next attempts wait for a connection until that
+    window is over."""
+    lanes = [{**lane, "aimUs": 4_000_000, "deadlineUs": 8_000_000} for lane in options()["lanes"]]
+    async with rig(lanes=lanes, rules={"repeatRatio": 0.1, "spareAttempts": 1, "lookBackUs": 1_000_000},
+                   limits={"dialTimeoutUs": 4_000_000, "openCap": 200}) as r:
+        home = r.home(0)
+        other = next(leaf for leaf in r.leaves if leaf is not home and leaf.cell in (0, 1))
+        clients = [r.client() for _ in range(10)]
+        clients[0].now(request("r0", "read", (0,), timeout_ms=6000))
+        link = await home.link()
+        await link.call()
+        for n, client in enumerate(clients[1:], 1):
+            client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
+        await until(lambda: r.root.core.counts["sends"] == 10)
+        r.network.gate = trio.Event()                    # no connection comes up until the test says so
+        link.stream.socket.close()
+        await trio.sleep(wait_s)
+        r.network.gate.set()
+        found = []
+
+        async def read(one):
+            while (frame := await one.frame()) is not None:
+                found.extend((trio.current_time(), wire_id) for wire_id in ids(frame[1]) if frame[0] == "m")
+
+        async def accept(leaf):
+            while True:
+                r.nursery.start_soon(read, await leaf.link())
+
+        r.nursery.start_soon(accept, other)
+        r.nursery.start_soon(accept, home)
+        await trio.sleep(0.5)
+        assert len(found) <= 1, found                    # one is free; nothing was taken in this window
+        assert not r.root.core.violations.total
