--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -88,8 +88,8 @@
     found = []
     while rest:
         line, _, rest = rest.partition(b"\n")
-        wire_id, _, _, length = line.decode().split(" ")
-        found.append(wire_id)
+        wire_id, shard, told, length = line.decode().split(" ")
+        found.append((wire_id, int(shard), int(dict(word.split("=") for word in told.split(","))["d"])))
         rest = rest[int(length):]
     return found
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -77,6 +77,24 @@
 
 # ---- calls that fail for a moment ----
 
+@real
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.ENOBUFS, errno.EMFILE, errno.ENOMEM])
+async def test_an_accept_that_fails_at_the_stop_does_not_lose_what_waits_in_the_backlog(tmp_path, error):
+    async with root_process(tmp_path) as root:
+        serve_all(root)
+        root.send_signal(signal.SIGTERM)
+        await trio.sleep(0.35)
+        async with root.held():                            # over the instant at which it takes no more
+            late = [root.client() for _ in range(3)]
+            for n, client in enumerate(late):
+                client.now(request(f"late{n}", "read", (n,), timeout_ms=3000))
+            root.control.fail("accept", error, count=10 ** 6)
+            await trio.sleep(0.4)
+        await trio.sleep(0.1)
+        root.control.calm()
+        assert [got and got[0] for got in [await client.answer() for client in late]] == [200] * 3
+        assert await root.ended() == 0
+
 
 @real
 @pytest.mark.parametrize("call, error", [("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH),
