Red tests: sends and reads short of memory, a configuration read once, requests read ahead of a stop

On: ENOBUFS or ENOMEM of one send or read closes a client's connection with its request open; one failed open at SIGHUP (EMFILE, ENFILE, EIO) or a file caught half written leaves a root with the old agent for good, so that what discovery tells counts unseen; of twelve requests sent at once and read, a stop answers those up to the one at hand and closes.

--- a/tests/root_process.py
+++ b/tests/root_process.py
@@ -81,9 +81,10 @@
 
 
 @asynccontextmanager
-async def root_process(tmp_path, stderr=None, targets=None, answer_watch=True, **changes):
-    """A root that listens, its first watch answered with a beat. `targets`: what it knows, in place of the rig's leaves."""
-    rig, where = Rig(**changes), f"{HOST}:{free_port()}"
+async def root_process(tmp_path, stderr=None, targets=None, answer_watch=True, where=None, **changes):
+    """A root that listens, its first watch answered with a beat. `targets`: what it knows, in place of the rig's leaves;
+    `where`: its address, else a free one."""
+    rig, where = Rig(**changes), where or f"{HOST}:{free_port()}"
     text = {**rig.text, "listen": where, "discovery": address(rig.agent.socket)}
     if targets is not None:
         text["known"] = {"rev": 40, "all": True, "targets": targets}
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -1,13 +1,16 @@
 """System calls that fail for a moment, and input that cannot be used, over a real process of `run`."""
 import errno
 import signal
+import time
 
 import pytest
 import trio
 
+from mothnotch.decisions import interface as i
 from mothnotch.standins.platform import request
-from tests.root_process import root_process
-from tests.test_ends import ids, real
+from tests.platform_day import options
+from tests.root_process import beat, ready, root_process
+from tests.test_ends import address, ids, listening, real, rig, usual
 
 
 async def serve(link, after_s=0.0):
@@ -96,6 +99,23 @@
         assert await root.ended() == 0
 
 
+@real
+@pytest.mark.parametrize("error", [errno.ENOBUFS, errno.ENOMEM])
+@pytest.mark.parametrize("call", ["send", "recv"])
+async def test_a_send_or_read_that_fails_for_want_of_memory_loses_no_connection(tmp_path, call, error):
+    async with root_process(tmp_path) as root:
+        serve_all(root, after_s=0.2)
+        client = root.client()
+        client.now(request("r1", "read", (0, 1, 2), timeout_ms=4000))
+        await trio.sleep(0.1)
+        root.control.fail(call, error, count=5)
+        got = await client.answer()
+        assert got is not None and got[0] == 200, got
+        client.now(request("r2", "read", (0, 1, 2), timeout_ms=4000))
+        assert (await client.answer())[0] == 200
+        assert root.control.failed(call) == 5
+
+
 @real
 @pytest.mark.parametrize("call, error", [("connect", errno.EADDRNOTAVAIL), ("connect", errno.ENETUNREACH),
                                          ("connect", errno.EHOSTUNREACH), ("socket", errno.ENFILE),
@@ -111,3 +131,18 @@
         root.control.calm()
         client.now(request("r2", "read", (0,), timeout_ms=4000))
         assert (await client.answer())[0] == 200
+
+
+@real
+@pytest.mark.parametrize("error", [errno.ENFILE, errno.EIO, errno.EMFILE])
+async def test_a_new_configuration_that_cannot_be_read_for_a_moment_is_followed_all_the_same(tmp_path, error):
+    async with root_process(tmp_path) as root:
+        moved = root.config_path.read_text().replace(root.rig.address_of_agent(), root.rig.second_agent())
+        root.config_path.write_text(moved)
+        root.control.fail("open", error, count=2)
+        root.send_signal(signal.SIGHUP)
+        with trio.fail_after(2.5):
+            await root.rig.other_agent.accept()
+
+
+# ---- hold-ups at the narrow moments ----
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -52,6 +52,30 @@
         await link.nothing()
 
 
+@real
+@pytest.mark.parametrize("cut", [False, True])
+async def test_at_a_stop_all_requests_that_were_read_ahead_are_answered(cut):
+    """A dozen commands at once, and the word to stop before the first is answered."""
+    async with rig() as r:
+        for leaf in r.leaves:
+            r.nursery.start_soon(serve_links, r, leaf)
+        client = r.client()
+        data = b"".join(request(f"r{n}", "read", (n % 4,), timeout_ms=4000) for n in range(COMMANDS))
+        client.now(data[:-30] if cut else data)
+        await trio.sleep(0.03)
+        r.nursery.start_soon(r.root.stop)
+        answers = [await client.answer() for _ in range(COMMANDS - cut)]
+        assert [got and got[0] for got in answers] == [200] * (COMMANDS - cut)
+        assert all("connection" not in headers for _, headers, _ in answers[:-1])
+        if cut:
+            client.now(data[-30:])
+            got = await client.answer()
+            assert got[0] == 200 and got[1]["connection"] == "close"
+        else:
+            assert answers[-1][1]["connection"] == "close"
+        assert await client.answer() is None
+
+
 async def serve_links(r, leaf):
     while True:
         r.nursery.start_soon(serve, await leaf.link(), 0.02)
