Calls short of memory are made again, a configuration is read again, what was read is answered

- ENOBUFS and ENOMEM of send and recv mean 'later' (net.FOR_A_MOMENT): the connection stays, the call is made again after 5 ms.
- reload reads a file that cannot be used again for 3 s; a second SIGHUP takes its place.
NodeRoot.reload is a task now.
- At a stop an answer closes its connection only if nothing of a next request was read or lies there to be read; of what is sent too far ahead all that was kept (64 KiB) is answered and the rest gets 413, where the open answer was the last and the requests kept went without.
Also bounded now: what a client sends while it does not take its answer; it was kept without end for the 3 s it had.

--- a/mothnotch/decisions/polling.py
+++ b/mothnotch/decisions/polling.py
@@ -17,6 +17,7 @@
 WATCH_CONNECT_S = 1.0            # a watch has to be connected by then
 WATCHES = 3                      # open at once; past it the oldest goes
 READY_S = 8.0                    # a root that no list has reached is ready all the same, with the one it was given
+RELOAD_AGAIN_S, RELOAD_MOST_S = 0.1, 3.0   # a configuration that cannot be used is read again: pauses, and for how long
 STUCK_S = 0.5                    # an agent that answers at once without anything new is asked again then
 
 
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -225,7 +225,12 @@
             await trio.lowlevel.wait_readable(sock)    # always: one read a pass, so that no peer holds up others
             try:
                 data, ancillary, _, _ = sock.recvmsg(most, ANCILLARY)
-            except (BlockingIOError, InterruptedError):
+            except OSError as error:
+                if error.errno not in FOR_A_MOMENT:
+                    raise
+                await trio.sleep(AGAIN_S if error.errno != errno.EAGAIN else 0)
+                if sock.fileno() < 0:
+                    raise trio.ClosedResourceError("this stream was closed") from error
                 continue
             now = trio.current_time()
             if self.arrivals is not None and ancillary and len(ancillary[0][2]) == STAMPED.size:
@@ -234,11 +239,14 @@
             return data, now
 
     def receive_now(self, stream, most):
-        """What a socket holds at this instant, `most` bytes at once; b"" at its end, None where there is nothing."""
+        """What a socket holds at this instant, `most` bytes at once; b"" at its end, None where there is nothing, or
+        nothing can be had for a moment."""
         try:
             return stream.socket._sock.recv(most)
-        except (BlockingIOError, InterruptedError):
-            return None
+        except OSError as error:
+            if error.errno in FOR_A_MOMENT:
+                return None
+            raise
 
     def accept_now(self, listener):
         """A connection that waits to be accepted, or None if none does; OSError if the accept failed."""
@@ -263,8 +271,10 @@
         """Sends what the socket takes at once; gives how many bytes that was. Not while a `send_all` runs."""
         try:
             return stream.socket._sock.send(data)       # trio has no call that sends without a checkpoint
-        except (BlockingIOError, InterruptedError):
-            return 0
+        except OSError as error:
+            if error.errno in FOR_A_MOMENT:
+                return 0
+            raise
 
     def lost(self, stream):
         """Whether an idle stream was closed by its peer, or holds bytes nobody asked for: seen without waiting."""
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -1,7 +1,7 @@
 """The HTTP front: one task a client connection, which reads; the answer leaves in the turn that decided it.
 
 Bounds: a head of 16 KiB (h11's), a body of 64 KiB, one open request a connection and as much again kept of what comes
-ahead of it; what comes past that is read and thrown away, and its connection ends with the open request's answer.
+ahead of it. What is kept is answered; what comes past that is read and thrown away, and its connection ends with an error.
 Connections as decisions/shares.py says. A request has to come whole, and its answer to be taken, in stated times; one
 sweep watches over all of them.
 
@@ -42,6 +42,7 @@
         self.arrived = deque()                # (bytes read so far, when the last of them came), of what is not used up
         self.read, self.at = 0, self.since    # bytes handed to h11; when the last byte of the request at hand came
         self.partial, self.closing, self.ahead, self.served = False, False, 0, False
+        self.cut = False                      # bytes were thrown away: nothing that comes is read any more
         self.parting, self.away = False, 0    # the last answer is out; bytes thrown away since
 
     @property
@@ -71,10 +72,13 @@
             if self.parting and self.away > AWAY:
                 self.front.close(self, ClientClose.TOO_MUCH_BEHIND)
             return
-        if self.query is not None:
+        if self.cut:
+            return
+        if self.query is not None or self.rest:
             self.ahead += len(data)
             if self.ahead > AHEAD:
-                return                         # never read: the open request's answer is the last one here
+                self.cut = True                # what is kept is answered; what follows gets an error
+                return
         elif not self.partial:
             self.partial, self.since = True, at
         self.keep(data, at)
@@ -88,6 +92,19 @@
         self.arrived.append((self.read, at))
         self.http.receive_data(data)
 
+    def more_read(self):
+        """Whether more of this client's requests has been read, or lies there to be read, than the one at hand."""
+        if self.http.trailing_data[0]:
+            return True
+        try:
+            data = self.front.network.receive_now(self.stream, READ)
+        except GONE:
+            return False
+        if data:
+            self.ahead += len(data)
+            self.keep(data, trio.current_time())
+        return bool(data)
+
     def advance(self):
         """Goes on as far as what has come allows: to the end of it, or to an open query."""
         while self.query is None and not self.rest and not self.dead and not self.closing:
@@ -95,6 +112,11 @@
             if event is h11.NEED_DATA:
                 # Nothing but whole requests so far: what is kept of a next one is told by h11's buffer.
                 self.partial = self.head is not None or bool(self.http.trailing_data[0])
+                if self.cut:
+                    raise requests.BadRequest(413, f"more than {AHEAD} bytes sent ahead of an answer")
+                if self.front.stopping and self.served and not self.partial:
+                    self.closing = True        # nothing of a next request has come: this was the last answer here
+                    self.front.part(self)
                 return
             if isinstance(event, h11.Request):
                 self.begun(event)
@@ -146,7 +168,7 @@
 
     def answer(self, status, body, kind=JSON, retry_after_us=0, close=False):
         """The one answer to the request at hand."""
-        close = close or self.front.stopping or self.ahead > AHEAD
+        close = close or self.front.stopping and not self.cut and not self.more_read()
         headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
         if retry_after_us:
             headers.append(("Retry-After", f"{retry_after_us / 1e6:.3f}"))
@@ -233,9 +255,11 @@
         try:
             while not client.dead:
                 most = READ
-                if client.parting or client.ahead > AHEAD:
+                if client.parting or client.cut:
                     await trio.sleep(0.01)           # bounded: what is thrown away anyway costs others little
                     most = AWAY
+                    if client.dead:
+                        break
                 data, at = await self.network.receive(stream, most)
                 if client.dead:
                     break
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from mothnotch.decisions.polling import RELOAD_AGAIN_S, RELOAD_MOST_S
 from mothnotch.decisions.shares import LAST_S, shares
 from mothnotch.node.calls import Calls
 from mothnotch.node.config import ConfigError, load
@@ -27,7 +28,7 @@
         self.calls.violations = self.core.violations
         self.watch = Watch(network, config.discovery, self.core, self.calls, log, Random(config.seed).random)
         self.front = Front(self.core, config, network, log, self.share, self.watch.ready)
-        self.addresses = []
+        self.addresses, self.reloading = [], trio.CancelScope()
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serves until cancelled or stopped; started once it listens."""
@@ -53,15 +54,26 @@
                 "leaf_connections_closed": {reason.name: n for reason, n in self.calls.closed.items() if n},
                 "given_up_for": self.core.reasons}
 
-    def reload(self):
-        """Reads the configuration again; a file that is wrong keeps the old one."""
-        try:
-            found = load(self.path)
-        except ConfigError as error:
-            self.log.error("the new configuration is wrong; the old one stays", error=str(error))
-            return
-        self.log.info("new configuration", discovery=found.discovery)
-        self.watch.moved(found.discovery)
+    async def reload(self):
+        """Reads the configuration again. A file that is wrong keeps the old one; it may have been caught half written,
+        or the read may have failed for a moment, so that it is read again for a while."""
+        self.reloading.cancel()
+        self.reloading = trio.CancelScope()
+        until, said = trio.current_time() + RELOAD_MOST_S, False
+        with self.reloading:
+            while True:
+                try:
+                    found = load(self.path)
+                    break
+                except ConfigError as error:
+                    if not said:
+                        self.log.error("the new configuration is wrong; the old one stays", error=str(error))
+                    said = True
+                if trio.current_time() >= until:
+                    return
+                await trio.sleep(RELOAD_AGAIN_S)
+            self.log.info("new configuration", discovery=found.discovery)
+            self.watch.moved(found.discovery)
 
     async def stop(self):
         """Goes on accepting for as long as clients may still come, then finishes what was taken, and ends."""
@@ -82,7 +94,7 @@
         """Follows SIGHUP and SIGTERM, as `received` gives them."""
         async for number in received:
             if number == signal.SIGHUP:
-                self.reload()
+                self.nursery.start_soon(self.reload)
             else:
                 self.log.info("stopping", signal=number)
                 self.nursery.start_soon(self.stop)
--- a/mothnotch/outgoing.py
+++ b/mothnotch/outgoing.py
@@ -5,6 +5,8 @@
 """
 import trio
 
+from mothnotch.net import AGAIN_S
+
 GONE = (OSError, trio.BrokenResourceError, trio.ClosedResourceError)     # how a stream says that it is no more
 
 
@@ -44,6 +46,8 @@
                 n = self.network.send_now(self.stream, bytes(self.rest))
                 del self.rest[:n]
                 self.took(n)
+                if not n and self.rest:
+                    await trio.sleep(AGAIN_S)        # writable, and yet nothing is taken: memory is short for a moment
         except GONE:
             self.lost()
         self.sending = False
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -145,4 +145,16 @@
             await root.rig.other_agent.accept()
 
 
+@real
+async def test_a_configuration_caught_half_written_is_read_again(tmp_path):
+    async with root_process(tmp_path) as root:
+        moved = root.config_path.read_text().replace(root.rig.address_of_agent(), root.rig.second_agent())
+        root.config_path.write_text(moved[:len(moved) // 2])
+        root.send_signal(signal.SIGHUP)
+        await trio.sleep(0.2)
+        root.config_path.write_text(moved)
+        with trio.fail_after(2.5):
+            await root.rig.other_agent.accept()
+
+
 # ---- hold-ups at the narrow moments ----
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -76,6 +76,30 @@
         assert await client.answer() is None
 
 
+@real
+async def test_of_what_is_sent_too_far_ahead_all_that_was_kept_is_answered_and_the_rest_gets_an_error():
+    async with rig(limits={"openCap": 400}) as r:
+        for leaf in r.leaves:
+            r.nursery.start_soon(serve_links, r, leaf)
+        client, text = r.client(), "x" * 6000
+        commands = [request(f"r{n}", "read", (n % 4,), text=text, timeout_ms=8000) for n in range(30)]
+
+        async def send():
+            try:
+                await client.stream.send_all(b"".join(commands))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+
+        r.nursery.start_soon(send)
+        found = []
+        with trio.fail_after(10):
+            while (got := await client.answer()) is not None:
+                found.append(got[0])
+        whole = [status for status in found if status == 200]
+        assert len(whole) >= 9 and found[-1] in (200, 413, 503), found     # 64 KiB of them, at least
+        assert all(status == 200 for status in found[:-1])
+
+
 async def serve_links(r, leaf):
     while True:
         r.nursery.start_soon(serve, await leaf.link(), 0.02)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -469,9 +469,9 @@
             nursery.start_soon(client.ask, "r1", "read", (0, 1))
             await trio.sleep(0.01)
             path.write_text(json.dumps(text)[:50])       # half written: the old one stays
-            day.root.reload()
+            await day.root.reload()
             path.write_text(json.dumps(text))
-            day.root.reload()
+            await day.root.reload()
         assert day.world.record.asks[0].final == "answered"
         assert "the new configuration is wrong; the old one stays" in [event for event, _ in day.log.lines]
         day.discovery.drop()
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -239,7 +239,7 @@
         path.write_text(json.dumps({"name": "other", "listen": "root:81", "discovery": "nobody:1", "seed": "2",
                                     "settings": options(lanes=lanes, tenants=[])}))
         before = day.root.config, day.root.core.settings, day.root.share
-        day.root.reload()
+        await day.root.reload()
         assert day.root.watch.address == "nobody:1"
         assert before == (day.root.config, day.root.core.settings, day.root.share)
         assert (await (await day.client()).ask("r1", "read", (0, 1)))[0] == 200
