Red tests: an older list after one that leaves a leaf out, an address in use, a client's leaving unread

On: a whole list of version 51 leaves b out, a new configuration moves to an agent at 50 whose list names it: b is up again; a root whose address is in use when it starts ends with status 1; a client that closes while its root is held up for 0.15 s between its decision and its write has a part begun after that.

--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -158,3 +158,35 @@
 
 
 # ---- hold-ups at the narrow moments ----
+
+@real
+async def test_a_root_whose_address_is_still_in_use_serves_as_soon_as_it_is_free(tmp_path):
+    """The process before it has not quite ended."""
+    before = listening()
+    async with root_process(tmp_path, answer_watch=False, where=address(before)) as root:
+        watch = await root.rig.watch()
+        await watch.raw(b"\n")
+        root.rig.nursery.start_soon(beat, watch)
+        await trio.sleep(0.6)
+        assert root.alive()
+        before.close()
+        await ready(root)
+
+
+@real
+async def test_a_client_that_leaves_while_the_root_is_held_up_in_its_turn_is_not_worked_for():
+    async with rig() as r:
+        link = await usual(r)                              # so that the part could leave at once
+        client, handle = r.client(), r.root.core.balancer.handle
+
+        def held_up(now, events):
+            actions = handle(now, events)
+            if any(isinstance(action, i.Send) for action in actions):
+                client.sock.close()
+                time.sleep(0.15)
+            return actions
+
+        r.root.core.balancer.handle = held_up
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        await link.nothing()
+        await r.empty()
--- a/tests/test_starts.py
+++ b/tests/test_starts.py
@@ -71,6 +71,25 @@
     return Leaf(name, "h:1", "z", 0, started=started)
 
 
+def test_what_a_whole_list_leaves_out_is_not_taken_back_by_an_older_one():
+    told = Told()
+    told.take(50, True, [up("a"), up("b")])
+    told.take(51, True, [up("a")])                       # b drains: a whole list leaves it out
+    told.moved()                                         # another agent, which has not heard yet
+    found = {leaf.name: leaf.state for leaf in told.take(50, True, [up("a"), up("b")])}
+    assert found == {"a": "up", "b": "draining"}
+    found = {leaf.name: leaf.state for leaf in told.take(52, True, [up("a"), up("b")])}
+    assert found == {"a": "up", "b": "up"}
+
+
+def test_a_leaf_left_out_that_was_started_anew_is_taken():
+    told = Told()
+    told.take(50, True, [up("a"), up("b", 1.0)])
+    told.take(51, True, [up("a")])
+    told.moved()
+    assert {leaf.name: leaf.state for leaf in told.take(50, True, [up("a"), up("b", 2.0)])} == {"a": "up", "b": "up"}
+
+
 # ---- the time a leaf is told ----
 
 @pytest.mark.parametrize("cancel", [True, False])
