--- a/mothnotch/decisions/roster.py
+++ b/mothnotch/decisions/roster.py
@@ -63,6 +63,7 @@
 
     def __init__(self, most=4096):
         self.most, self.rev, self.anew, self.ended = most, 0, False, {}     # ended: name -> (version, started)
+        self.up = {}                                                        # those held as up: name -> started
 
     def moved(self):
         """Another agent is asked: its first list may be of any version."""
@@ -79,6 +80,8 @@
             self.anew = False
             return None
         found = []
+        if whole:
+            self.left_out(rev, {leaf.name for leaf in leaves})
         for leaf in leaves:
             word = self.ended.get(leaf.name)
             if leaf.state != "up":
@@ -90,8 +93,19 @@
                     leaf = replace(leaf, state="draining")
                 else:
                     del self.ended[leaf.name]
+            if leaf.state == "up":
+                self.up[leaf.name] = leaf.started
+            else:
+                self.up.pop(leaf.name, None)
             found.append(leaf)
         while len(self.ended) > self.most:
             del self.ended[next(iter(self.ended))]
         self.rev, self.anew = rev, False
         return found
+
+    def left_out(self, rev, named):
+        """What a whole list does not name is gone by it, as if it had said so."""
+        for name in [name for name in self.up if name not in named]:
+            started = self.up.pop(name)
+            self.ended.pop(name, None)
+            self.ended[name] = rev, started
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -238,6 +238,10 @@
         first byte: for one that is partly out nothing is asked of the leaf."""
         return links.held_back(takes_new, attempt.over, attempt.too_late, attempt.deadline - now, not_now)
 
+    def left(self, attempt):
+        """Whether the client of an attempt has left, where that may lie unread: after a stall of the root's."""
+        return links.may_have_left(self.network.since_polled()) and attempt.part.query.has_left()
+
     def check_copy(self, link, attempt):
         """An attempt went out: an earlier one of its part must not still be out at a leaf that cannot read that it is
         given up."""
@@ -254,7 +258,7 @@
             if attempt.ended:
                 continue
             end = self.held_back(attempt, now, link.leaf.takes_new and link.address == link.leaf.address,
-                                 attempt.over_budget(going))
+                                 self.left(attempt) or attempt.over_budget(going))
             if end is not None:
                 self.counts["held_back"] += 1
                 attempt.end(end)
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -1,11 +1,12 @@
 """Assembly of a real root on the platform, and what signals do to it."""
+import errno
 import signal
 from random import Random
 
 import trio
 
 from mothnotch.decisions.polling import RELOAD_AGAIN_S, RELOAD_MOST_S
-from mothnotch.decisions.shares import LAST_S, shares
+from mothnotch.decisions.shares import LAST_S, LISTEN_AGAIN_S, LISTEN_MOST_S, shares
 from mothnotch.node.calls import Calls
 from mothnotch.node.config import ConfigError, load
 from mothnotch.node.discovery import Watch
@@ -14,6 +15,7 @@
 from mothnotch.root.trace import Trace
 
 LOOK_S = 0.02                    # how often a root that stops looks whether anybody is left
+LISTEN_AGAIN = (errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class NodeRoot:
@@ -37,7 +39,7 @@
             await self.nursery.start(self.core.run)
             self.watch.start(self.config.known)
             self.nursery.start_soon(self.watch.run)
-            self.listeners = await self.network.listen(self.config.listen)
+            self.listeners = await self.listen()
             self.addresses = [self.network.name(listener) for listener in self.listeners]
             await self.nursery.start(self.front.run, self.listeners)
             self.log.info("serving", name=self.config.name, addresses=self.addresses)
@@ -47,6 +49,19 @@
             self.log.error("taken and not answered", taken=taken, ends=ends, queries=left)
         self.log.info("stopped", **self.counts())
 
+    async def listen(self):
+        """Listeners at the configured address. One that is still in use, as the process before this one has not quite
+        ended, or that cannot be had for want of descriptors or memory, is asked for again."""
+        until = trio.current_time() + LISTEN_MOST_S
+        while True:
+            try:
+                return await self.network.listen(self.config.listen)
+            except OSError as error:
+                if error.errno not in LISTEN_AGAIN or trio.current_time() >= until:
+                    raise
+                self.log.warning("cannot listen yet", address=self.config.listen, error=str(error))
+            await trio.sleep(LISTEN_AGAIN_S)
+
     def counts(self):
         return {**self.core.counts, **self.calls.counts, **self.front.counts, "open_clients": len(self.front.clients),
                 "open_links": self.calls.open, "violations": self.core.violations.counts,
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -173,6 +173,22 @@
         await ready(root)
 
 
+@real
+async def test_a_root_held_up_as_it_is_told_to_stop_answers_before_it_may_be_killed(tmp_path):
+    """A request that comes late on a connection that stays open, to a leaf that hangs."""
+    async with root_process(tmp_path, lanes=options()["lanes"]) as root:
+        client = root.client()
+        async with root.held():
+            root.send_signal(signal.SIGTERM)
+            told = trio.current_time()
+            await trio.sleep(0.1)                          # and what `held` waits: 0.15 s in all
+        await trio.sleep_until(told + 1.0)
+        client.now(request("r1", "read", (0,), timeout_ms=1500))
+        got = await client.answer()
+        assert got is not None and got[0] in (503, 504)
+        assert trio.current_time() < told + 1.5 + 0.7 - 0.05
+
+
 @real
 async def test_a_client_that_leaves_while_the_root_is_held_up_in_its_turn_is_not_worked_for():
     async with rig() as r:
