--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -42,6 +42,28 @@
         assert (await client.answer())[0] == 200
 
 
+@real
+@pytest.mark.parametrize("step_s", [0.0, 3.0, -3.0, 3600.0])
+async def test_a_request_that_came_on_a_new_connection_during_a_hold_up_counts_from_when_it_came(tmp_path, step_s):
+    """Five connections wait to be accepted, each with its request: the root looks at one after another."""
+    async with root_process(tmp_path) as root:
+        home = root.home(0)
+        async with root.held():
+            clients = [root.client() for _ in range(5)]
+            for n, client in enumerate(clients):
+                client.now(request(f"r{n}", "read", (0,), timeout_ms=2000))
+            sent = trio.current_time()
+            await trio.sleep(0.5)
+            root.control.step_wall(step_s)
+        link, told = await home.link(), []
+        while len(told) < 5:
+            letter, rest = await link.frame()
+            told += [ms for _, _, ms in frames_of(rest)] if letter == "m" else []
+        left_ms = 2000 - (trio.current_time() - sent) * 1000
+        assert max(told) <= left_ms + 150, (told, left_ms)
+        assert min(told) >= left_ms - 150, (told, left_ms)
+
+
 @real
 @pytest.mark.parametrize("step_s", [3.0, 3600.0, -3600.0])
 async def test_a_step_between_an_answers_arrival_and_its_read_blames_no_leaf(tmp_path, step_s):
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -156,10 +156,11 @@
 
 class Watch:
     def __init__(self, stream, target):
-        self.stream, self.target = stream, target
+        self.stream, self.target, self.writing = stream, target, trio.Lock()
 
     async def raw(self, data):
-        await self.stream.send_all(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        async with self.writing:
+            await self.stream.send_all(f"{len(data):x}\r\n".encode() + data + b"\r\n")
 
     async def say(self, rev, *targets, whole=False):
         await self.raw(json.dumps({"rev": rev, "all": whole, "targets": list(targets)}).encode() + b"\n")
@@ -170,7 +171,7 @@
 
     def __init__(self):
         super().__init__()
-        self.gate, self.small, self.asked, self.full = None, False, 0, False
+        self.gate, self.small, self.asked, self.full = None, False, 0, b""
 
     async def open(self, where, source=None):
         self.asked += 1
@@ -182,7 +183,7 @@
         return stream
 
     def send_now(self, stream, data):
-        return 0 if self.full and data[4:5] == b"m" else super().send_now(stream, data)    # full: no call is taken
+        return 0 if self.full and data[4:5] == self.full else super().send_now(stream, data)   # full: no such frame is taken
 
 
 class Rig:
@@ -391,7 +392,7 @@
         stay.now(request("stay", "hold", (0,), key="k1"))
         link = await home.link()
         assert await link.call() == ["stay.0"]
-        r.network.full = True
+        r.network.full = b"m"
         client.now(request("r1", "read", (0,)))
         (root_link,) = await links(r, home.name, lambda k: k.load == 2)
         if end == "drain":
@@ -401,7 +402,7 @@
             client.leave()
             await until(lambda: r.root.core.counts["gone"])
         await until(lambda: root_link.load == 1)           # it went back, the other part did not
-        r.network.full = False
+        r.network.full = b""
         await link.nothing()
         await link.good("stay.0")
         assert (await stay.answer())[0] == 200
@@ -737,6 +738,25 @@
     assert step == 3999
 
 
+@real
+async def test_a_word_that_does_not_leave_at_once_closes_its_connection_before_another_attempt_begins():
+    """The socket takes all until the word that the part is given up: another attempt would overtake that."""
+    async with rig(limits={"mayDuplicate": False}) as r:
+        link, home = await usual(r), r.home(0)
+        other = next(leaf for leaf in r.leaves if leaf is not home and leaf.cell in (0, 1))
+        clients = [r.client() for _ in range(3)]
+        for n, client in enumerate(clients):
+            client.now(request(f"r{n}", "read", (0,), timeout_ms=6000))
+            assert await link.call() == [f"r{n}.0"]
+        r.network.full = b"n"
+        await link.good("r1.0", after_s=0.1)               # what was sent later is answered: r0 is stuck, the leaf is heard
+        elsewhere = await other.link()
+        assert "r0.0" in await elsewhere.call()
+        with trio.fail_after(0.2):
+            assert await link.frame() is None              # told by the close
+        assert not r.root.core.violations.total
+
+
 @real
 async def test_giving_up_behind_a_full_socket_resets_no_other_part_where_the_query_is_over():
     async with rig(small=True) as r:
