A word that cannot leave at once closes its connection; data on new connections keeps its time

- Calls.give_up asks again after the word was sent: a socket that takes it in part or not at all lets another attempt overtake it.
- ArrivalClock holds the pass before against a stamp only to choose between two differences of the clocks after a step.
- The record says 'sent' when the first byte of a frame left, not when it was written: a frame that met a full socket was told twice.

--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -26,6 +26,7 @@
 AGAIN_S = 0.005                  # pause before a call that failed for a moment is made again: it must not spin
 STEP_S = 0.002                   # the wall clock and the monotonic one that part by more between two passes show a step
 JITTER_S = 0.001                 # a stamp may lie so far ahead of the least delay learned
+OLDEST_S = 10.0                  # data that would have come so long ago was not dated by this clock
 DRIFT = 0.001                    # most that the wall clock is slewed against the monotonic one, of the time passed
 
 
@@ -54,8 +55,9 @@
     What to add to a stamp is learned from the stamps themselves: data that is read as soon as it comes has the least delay
     between stamp and read, so that the least one seen is the difference of the clocks. The wall clock may be stepped at any
     time, and the stamps with it or not. Each pass of the scheduler therefore looks for a step, and from then on both
-    differences are tried: data read in a pass came no earlier than the pass before, or that one would have reported it, and
-    no later than now. If both fit, the earlier arrival counts, as no request may be believed to have more time than it has.
+    differences are tried until one alone fits: no data comes later than it is read, and most of it no earlier than the pass
+    before, which would have reported it (not so on a new connection, or where a read left something over). If both fit, the
+    earlier arrival counts, as no request may be believed to have more time than it has.
     Error: none for a step that is larger than the time between two passes (a quarter of a second on an idle root); else at
     most the step, once.
     """
@@ -75,17 +77,20 @@
 
     def arrival(self, stamp, now):
         """When data with that stamp, read now, came: on trio's clock."""
-        delay = now - stamp
-        fitting = [offset for offset in self.offsets if self.before <= stamp + offset <= now + JITTER_S]
-        if not fitting:
-            overdue = bool(self.offsets) and delay > self.offsets[-1]
-            self.offsets, self.learned = [delay], now
-            return self.before if overdue else now          # left over from the pass before; or a step nobody saw
+        possible = [offset for offset in self.offsets if stamp + offset <= now + JITTER_S]
+        if not possible:
+            return self.learn(now - stamp, now)
+        fitting = [offset for offset in possible if stamp + offset >= self.before]
         if len(fitting) == 1:
             # The clocks drift apart slowly: what was least some time ago need not be now.
-            drifted = fitting[0] + DRIFT * (now - self.learned)
-            self.offsets, self.learned = [min(drifted, delay)], now
-        return min(now, stamp + min(fitting))
+            self.learn(min(fitting[0] + DRIFT * (now - self.learned), now - stamp), now)
+        at = stamp + (min(fitting) if fitting else max(possible))
+        return min(now, at) if now - at < OLDEST_S else self.learn(now - stamp, now)
+
+    def learn(self, offset, now):
+        """Takes a difference of the clocks for the one that holds; gives now."""
+        self.offsets, self.learned = [offset], now
+        return now
 
 
 class Listener(trio.abc.Listener):
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -92,6 +92,10 @@
             if before <= begins < self.given:
                 for attempt in attempts:
                     attempt.leaves()
+                    if self.calls.trace.on:
+                        self.calls.trace.note("sent", wire_id=attempt.call.wire_id, part=attempt.part.id, attempt=attempt.n,
+                                              leaf=self.leaf.name, link=id(self), told_ms=attempt.call.told_ms,
+                                              out=len(self.out), given_up=len(self.spent))
         while self.ends and self.ends[0][1] <= self.given:
             went = int(trio.current_time() * 1e6)
             for attempt in self.ends.popleft()[2]:
@@ -106,10 +110,10 @@
 class Ticket:
     """What an attempt knows of the connection it is on."""
 
-    __slots__ = ("calls", "link", "wire_id", "went")
+    __slots__ = ("calls", "link", "wire_id", "went", "told_ms")
 
     def __init__(self, calls, link, wire_id):
-        self.calls, self.link, self.wire_id, self.went = calls, link, wire_id, False
+        self.calls, self.link, self.wire_id, self.went, self.told_ms = calls, link, wire_id, False, None
 
     def dropped(self, attempt):
         """The attempt was called off."""
@@ -269,10 +273,7 @@
             left_s = attempt.part.query.request.deadline_us / 1e6 - now
             self.violations.check(told_ms / 1000 <= max(0, left_s) + TOLD_SLACK_S, Invariant.TOLD_TOO_LONG,
                                   wire_id=attempt.call.wire_id, told_ms=told_ms, left_s=left_s)
-            if self.trace.on:
-                self.trace.note("sent", wire_id=attempt.call.wire_id, part=attempt.part.id, attempt=attempt.n,
-                                leaf=link.leaf.name, link=id(link), told_ms=told_ms, out=len(link.out),
-                                given_up=len(link.spent))
+            attempt.call.told_ms = told_ms
             parts.append((attempt.call.wire_id, attempt.part.spec.shard, told_ms, attempt.payload.key, attempt.payload.text))
         if going:
             self.counts["frames"] += 1
@@ -371,6 +372,9 @@
         if len(link.spent) >= SPENT:
             link.no_more = True                   # none is forgotten: its late answer would count as a broken protocol
         link.send(frames.give_up(wire_id))
+        if links.closes(False, link.sending, attempt.part.query.outcome is not None, self.copies):
+            self.lost(link, LeafClose.GIVEN_UP)       # the word did not leave at once: another attempt would overtake it
+            return
         self.rested(link)
 
     def timed_out(self, attempt, now):
