--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -313,7 +313,7 @@
         late = self.late(query, fresh) if query.open and query.step == 1 else []
         distrusted = self.deaths.count(query.key, self.now) >= DEATHS
         if query.open and (distrusted or 1 - sum(p.weight for p in late) < query.kind.least - NEAR):
-            self.end(query, "its key is distrusted" if distrusted else "would come too late for what it is worth")
+            self.end(query, "its key is distrusted" if distrusted else "would come too late for its worth")
         asked, whole = 0.0, query.kind.whole_at - NEAR if query.step == 1 else 1.0
         if whole < 1 - 2 * NEAR:                       # work not needed is not asked for: the quickest are
             seen = {}
--- a/mothnotch/decisions/roster.py
+++ b/mothnotch/decisions/roster.py
@@ -7,6 +7,7 @@
 from mothnotch.decisions.interface import Entry, ListNews, News
 
 STATES = ("up", "draining", "removed")
+STARTS = 4                       # starts of one leaf that are remembered as gone
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,7 +63,7 @@
     """
 
     def __init__(self, most=4096):
-        self.most, self.rev, self.anew, self.ended = most, 0, False, {}     # ended: name -> (version, started)
+        self.most, self.rev, self.anew, self.ended = most, 0, False, {}     # ended: name -> (version, starts)
         self.up = {}                                                        # those held as up: name -> started
 
     def moved(self):
@@ -85,11 +86,9 @@
         for leaf in leaves:
             word = self.ended.get(leaf.name)
             if leaf.state != "up":
-                if word is None or word[0] <= rev:
-                    self.ended.pop(leaf.name, None)
-                    self.ended[leaf.name] = rev, leaf.started
+                self.end(leaf.name, rev, leaf.started)
             elif word is not None:
-                if rev < word[0] and leaf.started == word[1]:
+                if rev < word[0] and leaf.started in word[1]:
                     leaf = replace(leaf, state="draining")
                 else:
                     del self.ended[leaf.name]
@@ -106,6 +105,11 @@
     def left_out(self, rev, named):
         """What a whole list does not name is gone by it, as if it had said so."""
         for name in [name for name in self.up if name not in named]:
-            started = self.up.pop(name)
-            self.ended.pop(name, None)
-            self.ended[name] = rev, started
+            self.end(name, rev, self.up.pop(name))
+
+    def end(self, name, rev, started):
+        """A leaf with that start drains or is gone by that version. Of several such words the newest version counts, for
+        each start that they named."""
+        newest, starts = self.ended.pop(name, (rev, ()))
+        others = tuple(other for other in starts if other != started)
+        self.ended[name] = max(rev, newest), (*others[1 - STARTS:], started)
--- a/mothnotch/decisions/starts.py
+++ b/mothnotch/decisions/starts.py
@@ -14,6 +14,7 @@
 counts as starting now.
 """
 NOTICE_MOST_US = 10_000_000      # longest that discovery takes to tell of a start while it is up; settings state up to 5 s
+EARLIEST_US = 1                  # the own clock's first instant that is not "long ago"
 REMEMBERED = 4096                # leaves whose start is remembered; past it, the one that was told longest ago goes
 
 
@@ -48,4 +49,7 @@
         age_us = max(0, int((self.wall_offset_s - stated_s) * 1e6 + now_us))
         if self.last_word_us is not None and age_us > now_us - self.last_word_us + NOTICE_MOST_US:
             age_us = 0                   # it would have been told long ago: the wall clock was wrong
-        return max(0, now_us - age_us)
+        if age_us < now_us:
+            return now_us - age_us
+        # Before the own clock's zero, which means long ago: as near as can be told, if it is not.
+        return EARLIEST_US if age_us <= NOTICE_MOST_US else 0
