--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -30,7 +30,7 @@
 HELD_S = 0.05                    # a root that looked at nothing for so long, waits aside, was held up
 HELD_FOR_S = 0.25                # for so long after a hold-up, what came during it may still be unread
 OLDEST_S = 10.0                  # data that would have come so long ago was not dated by this clock
-DRIFT = 0.001                    # most that the wall clock is slewed against the monotonic one, of the time passed
+DRIFT = 0.0005                   # most that the wall clock is slewed against the monotonic one, of the time passed
 
 
 class AddressError(ValueError):
@@ -102,12 +102,13 @@
             return max(0.0, self.before - stamp - offset, stamp + offset - now - JITTER_S)
 
         best = min(self.offsets, key=lambda offset: (miss(offset), offset))
-        at = stamp + best
-        if at > now or now - at >= OLDEST_S:
+        # The clocks drift apart slowly: what was least some time ago need not be now.
+        drifted = best + DRIFT * (now - self.learned)
+        at = min(now, stamp + drifted)
+        if stamp + best > now or now - at >= OLDEST_S:
             return self.learn(now - stamp, now)
-        if not miss(best) and all(miss(offset) for offset in self.offsets if offset is not best):
-            # The clocks drift apart slowly: what was least some time ago need not be now.
-            self.learn(min(best + DRIFT * (now - self.learned), now - stamp), now)
+        if at >= self.before and all(miss(offset) for offset in self.offsets if offset is not best):
+            self.learn(min(drifted, now - stamp), now)
         return at
 
     def learn(self, offset, now):
--- a/mothnotch/standins/platform.py
+++ b/mothnotch/standins/platform.py
@@ -92,13 +92,13 @@
                 (shard + j) % self.cells == self.cell for j in range(self.reach)), "not a holder"
             self.deadlines.append(int(told["d"]))
             self.world.saw(self.name, "arrived", rid, shard)
-            waiting[wire_id] = trio.CancelScope()
-            self.nursery.start_soon(self.part, stream, wire_id, rid, shard, text, told.get("k"), waiting)
+            scope = waiting[wire_id] = trio.CancelScope()
+            self.nursery.start_soon(self.part, scope, stream, wire_id, rid, shard, text, told.get("k"), waiting)
 
-    async def part(self, stream, wire_id, rid, shard, text, key, waiting):
-        with waiting[wire_id]:
+    async def part(self, scope, stream, wire_id, rid, shard, text, key, waiting):
+        with scope:                                  # given up in one read with its call, it is cancelled already
             await trio.sleep(self.work_s)
-            del waiting[wire_id]
+            waiting.pop(wire_id, None)
             mood = self.mood(rid, shard)
             if mood == "silent":
                 return
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,6 +11,7 @@
 
 from mothnotch.audit.rules import judge
 from mothnotch.decisions import interface as i
+from mothnotch.node import frames
 from mothnotch.standins import platform
 from mothnotch.standins.platform import request
 from tests.platform_day import options, play
@@ -171,6 +172,17 @@
     play(test)
 
 
+def test_a_stand_in_leaf_takes_a_part_that_is_given_up_in_the_read_of_its_call():
+    async def test(day):
+        leaf, stream = day.leaves[0], await day.network.open(day.leaves[0].address)
+        call = frames.call([("r1.0", 0, 500, None, b"t")])
+        await stream.send_all(call + frames.give_up("r1.0") + frames.call([("r2.0", 0, 500, None, b"t")]))
+        found = await stream.receive_some(1000)
+        assert b"r2.0 good" in found and b"r1.0" not in found and leaf.given_up == ["r1.0"]
+
+    play(test)
+
+
 def test_a_client_that_leaves_has_its_parts_called_off():
     async def test(day):
         client = await day.client()
