A client's connection in a module of its own, with the field's names for its ends

Client moves to node/client.py; parting, part, away, AWAY, READ, AHEAD become lingering, half_close, discarded, DISCARD_BYTES, READ_BYTES, AHEAD_BYTES. Nothing is decided otherwise.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -18,7 +18,7 @@
 from mothnotch.decisions import links as links_decided
 from mothnotch.node import calls, frames
 from mothnotch.node import config as node_config
-from mothnotch.node.front import AHEAD
+from mothnotch.node.client import AHEAD_BYTES
 from mothnotch.node.root import NodeRoot
 from mothnotch.standins.platform import request
 from tests.platform_day import CELLS, Kept, options
@@ -509,7 +509,7 @@
         kept = r.root.front.counts["requests"]
         assert found[-1] == (413, "close") and len(found) == kept + 1
         assert set(found[:-1]) <= {(200, None), (503, None)} and found[0] == (200, None)    # late ones may be refused
-        assert AHEAD - len(one) * 100 < kept * len(one) <= AHEAD + len(one)
+        assert AHEAD_BYTES - len(one) * 100 < kept * len(one) <= AHEAD_BYTES + len(one)
 
 
 @real
