At the share of connections to leaves the longest idle one goes for a new one

Calls.place ended an attempt unsent at the share, whatever stood idle: those connections go after 0.75 of the idle time only. links.spare picks the longest idle one that has rested for 50 ms, which bounds how often one is made and given up; what is out, waits or probes keeps its place.

--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -36,6 +36,7 @@
     return max(1, streams - 1)
 
 
+REST_S = 0.05                     # a connection that rested for less is not given up for another
 LOOK_AGAIN_S = 0.02               # sockets that were last looked at so long ago may hold a client's leaving
 
 
@@ -63,6 +64,15 @@
     return full or word_waits and not over and not copies
 
 
+def spare(idle, now):
+    """Which of the idle connections, [(idle since, connection)], goes for a new one where all places are taken; None if none
+    has rested for long enough. Guards against a root that keeps connections it does not use and refuses work for want of one.
+    Harm: a handshake for each part where leaves are many more than connections; `REST_S` bounds how often one is made and
+    given up again."""
+    since, connection = min(idle, key=lambda pair: pair[0], default=(now, None))
+    return connection if now - since >= REST_S else None
+
+
 def overdue(idle_for_s, most_s):
     """Whether an idle connection is past its time: the leaf may be closing it at this very instant."""
     return idle_for_s >= most_s
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -127,7 +127,7 @@
         self.network, self.log, self.streams, self.places = network, log, streams, links.places(streams)
         self.per_call = max(1, min(per_call, self.places))
         self.most, self.idle_s, self.connect_s, self.copies = most, idle_s, connect_s, copies
-        self.leaves, self.open = {}, 0
+        self.leaves, self.links, self.open = {}, {}, 0       # links: those open, in the order they were begun
         self.timeouts, self.hearing = Timeouts(self.timed_out), links.Hearing()
         self.violations, self.trace = Violations(log.error), Trace()
         self.given_up = {}                   # wire id -> the connection on which it is given up and not answered yet
@@ -207,6 +207,8 @@
         ids = [attempt.payload.wire_id for attempt in attempts]
         link = self.link(leaf, ids)
         if link is None:
+            if self.open >= self.most:
+                self.make_room()
             if self.open >= self.most:
                 self.counts["over_most"] += 1
                 for attempt in attempts:
@@ -214,6 +216,7 @@
                 return
             link = Link(self, leaf)
             leaf.links.append(link)
+            self.links[link] = None
             self.open += 1
             self.nursery.start_soon(self.connect, link)
         for attempt, wire_id in zip(attempts, ids, strict=True):
@@ -221,6 +224,15 @@
         link.waiting += attempts
         link.go_on()
 
+    def make_room(self):
+        """At the share of connections: the longest idle one goes, if any stands idle."""
+        now = trio.current_time()
+        idle = [(link.idle_since, link) for link in self.links
+                if link.stream is not None and not link.load and not link.probes]
+        link = links.spare(idle, now)
+        if link is not None:
+            self.lost(link, LeafClose.SHARE)
+
     def link(self, leaf, ids):
         """A connection with room for such attempts, none of them of an id that an earlier answer may still come for."""
         for link in list(leaf.links):
@@ -395,6 +407,7 @@
             if self.given_up.get(wire_id) is link:
                 del self.given_up[wire_id]
         self.open -= 1
+        del self.links[link]
         link.leaf.links.remove(link)
         if link.stream is not None:
             shut(link.stream)
--- a/mothnotch/node/closing.py
+++ b/mothnotch/node/closing.py
@@ -29,5 +29,6 @@
     GIVEN_UP = "an attempt on it was given up, and a word would have been read too late"
     WITHDRAWN = "a frame partly out must not go on"
     PLACES_TAKEN = "all places are taken by what was given up"
+    SHARE = "another leaf's needed its place in the share of connections"
     ASKED = "the module asked for new connections"
     DEFECT = "an unexpected error"
