--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -1,5 +1,6 @@
 """System calls that fail for a moment, and input that cannot be used, over a real process of `run`."""
 import errno
+import pathlib
 import signal
 import time
 
@@ -174,6 +175,20 @@
         await ready(root)
 
 
+@real
+async def test_a_word_to_stop_that_comes_while_the_program_starts_ends_it_properly(tmp_path):
+    """As soon as it takes the signal at all: the rest of it is not imported yet."""
+    async with root_process(tmp_path, answer_watch=False) as root:
+        status = pathlib.Path(f"/proc/{root.process.pid}/status")
+        while True:
+            caught = int(next(line for line in status.read_text().splitlines() if line.startswith("SigCgt")).split()[1], 16)
+            if caught >> (signal.SIGTERM - 1) & 1:
+                break
+            await trio.sleep(0.001)
+        root.send_signal(signal.SIGTERM)
+        assert await root.ended(within_s=3) == 0
+
+
 @real
 async def test_a_root_held_up_as_it_is_told_to_stop_answers_before_it_may_be_killed(tmp_path):
     """A request that comes late on a connection that stays open, to a leaf that hangs."""
