A root told to stop is gone 0.2 s before it may be killed, whoever stays

All answers are due LAST_S before that moment, and the process waited to its very end for those who had taken theirs; it ends EXIT_S after the last answers now. Ruled out: an answer owed (none by its own count), a hold-up (its log).

--- a/mothnotch/decisions/shares.py
+++ b/mothnotch/decisions/shares.py
@@ -10,6 +10,7 @@
 KILL_S, KILL_MOST_S = 0.7, 3.0    # a planned end leaves the longest deadline, so much of it at most, and this on top
 LAST_S = 0.3                      # what has to be answered before the end is, so long before it: a root may be held up
                                   # for 0.15 s when the word to stop comes, and again when it answers
+EXIT_S = 0.1                      # and the process ends so long after that, with time left to be gone before it is killed
 LISTEN_AGAIN_S, LISTEN_MOST_S = 0.05, 10.0   # an address still in use at a start is asked for again: pauses, for how long
 BEHIND_S = 0.25                   # an answer may come so long after its client's time, where it waited behind another's
 STALLED_S = 0.05                  # a pass of the scheduler that took so long: what came meanwhile lies unread
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -6,7 +6,7 @@
 import trio
 
 from mothnotch.decisions.polling import RELOAD_AGAIN_S, RELOAD_MOST_S
-from mothnotch.decisions.shares import LAST_S, LISTEN_AGAIN_S, LISTEN_MOST_S, shares
+from mothnotch.decisions.shares import EXIT_S, LISTEN_AGAIN_S, LISTEN_MOST_S, shares
 from mothnotch.node.calls import Calls
 from mothnotch.node.config import ConfigError, load
 from mothnotch.node.discovery import Watch
@@ -98,7 +98,7 @@
         self.front.stopping, self.front.ends = True, began + self.share.ending_s
         await trio.sleep_until(began + self.share.stopping_s)
         await self.front.stop(self.listeners)
-        with trio.move_on_at(self.front.ends + LAST_S):
+        with trio.move_on_at(self.front.ends + EXIT_S):
             # At least once: a connection that was accepted just now is not among the clients before its task has begun.
             await trio.sleep(LOOK_S)
             while self.front.clients:
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -205,6 +205,18 @@
         assert trio.current_time() < told + 1.5 + 0.7 - 0.05
 
 
+@real
+async def test_a_root_told_to_stop_is_gone_before_it_may_be_killed_though_a_client_stays_and_says_nothing(tmp_path):
+    async with root_process(tmp_path, lanes=options()["lanes"]) as root:
+        begun = root.client()
+        begun.now(request("r1", "read", (0,), timeout_ms=1500)[:60])
+        root.send_signal(signal.SIGTERM)
+        told = trio.current_time()
+        await trio.sleep(1.0)
+        assert await root.ended() == 0                     # the client stays, in the middle of its request
+        assert trio.current_time() < told + 1.5 + 0.7 - 0.1
+
+
 @real
 async def test_a_client_that_leaves_while_the_root_is_held_up_in_its_turn_is_not_worked_for():
     async with rig() as r:
