--- a/mothnotch/soak/client.py
+++ b/mothnotch/soak/client.py
@@ -216,25 +216,20 @@
 
     async def halting(self):
         connection, request = await self.connect(), self.request()
-        began = now()
-        await connection.stream.send_all(request.data[:self.random.randint(1, 150)])
-        with trio.move_on_after(5):
-            got = await connection.answer()
-            self.record.note("halted", root=self.root, after_s=now() - began, how=got if isinstance(got, str) else got[0])
-            await trio.aclose_forcefully(connection.stream)
-            return
-        self.record.note("halted", root=self.root, after_s=now() - began, how="nothing")
+        await self.owed_an_end(connection, request.data[:self.random.randint(1, 150)])
 
     async def bad(self):
-        connection = await self.connect()
-        began = now()
-        await connection.stream.send_all(self.random.choice(BAD))
+        await self.owed_an_end(await self.connect(), self.random.choice(BAD))
+
+    async def owed_an_end(self, connection, data):
+        """Says no whole request, stays, and records when it got an error or a close."""
+        began, how = now(), "nothing"
+        await connection.stream.send_all(data)
         with trio.move_on_after(5):
             got = await connection.answer()
-            self.record.note("halted", root=self.root, after_s=now() - began, how=got if isinstance(got, str) else got[0])
-            await trio.aclose_forcefully(connection.stream)
-            return
-        self.record.note("halted", root=self.root, after_s=now() - began, how="nothing")
+            how = got if isinstance(got, str) else got[0]
+        self.record.note("halted", root=self.root, after_s=now() - began, how=how)
+        await trio.aclose_forcefully(connection.stream)
 
 
 if __name__ == "__main__":
--- a/tests/root_process.py
+++ b/tests/root_process.py
@@ -14,6 +14,7 @@
 
 from mothnotch.decisions import state
 from mothnotch.soak import shim
+from mothnotch.standins.platform import request
 from tests.platform_day import CELLS, REACH
 from tests.test_ends import HOST, Client, Rig, address
 
@@ -126,3 +127,15 @@
         except OSError:
             pass
         await trio.sleep(0.02)
+
+
+async def used_link(root, home):
+    """A connection to a leaf that has answered once."""
+    client = root.client()
+    client.now(request("warm", "read", (0,), timeout_ms=4000))
+    link = await home.link()
+    assert await link.call() == ["warm.0"]
+    await link.good("warm.0", after_s=0.05)
+    assert (await client.answer())[0] == 200
+    client.leave()
+    return link
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -6,7 +6,7 @@
 import trio
 
 from mothnotch.standins.platform import request
-from tests.root_process import root_process
+from tests.root_process import root_process, used_link
 from tests.test_ends import frames_of, ids, keyed, real
 
 STEPS = [3.0, -3.0, 9.0, 0.9, -0.9, 3600.0, -3600.0]
@@ -18,12 +18,7 @@
 @pytest.mark.parametrize("step_s", STEPS)
 async def test_a_step_between_arrival_and_read_takes_no_time_from_a_request(tmp_path, step_s, stamps_too):
     async with root_process(tmp_path) as root:
-        home, client, warm = root.home(0), root.client(), root.client()
-        warm.now(request("warm", "read", (0,), timeout_ms=4000))
-        link = await home.link()
-        assert await link.call() == ["warm.0"]
-        await link.good("warm.0", after_s=0.05)
-        assert (await warm.answer())[0] == 200
+        client, link = root.client(), await used_link(root, root.home(0))
         async with root.held():
             sent = trio.current_time()
             client.now(request("r1", "read", (0,), timeout_ms=2000))
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -3,7 +3,7 @@
 import trio
 
 from mothnotch.standins.platform import request
-from tests.root_process import root_process
+from tests.root_process import root_process, used_link
 from tests.test_ends import frames_of, real, rig
 from tests.test_failing_calls import serve
 
@@ -108,12 +108,7 @@
 async def test_requests_that_came_one_after_another_during_a_hold_up_are_read_at_once_and_count_from_the_first(tmp_path):
     """The kernel dates a read by the last byte of it: the first request came half a second before."""
     async with root_process(tmp_path) as root:
-        home, client, warm = root.home(0), root.client(), root.client()
-        warm.now(request("warm", "read", (0,), timeout_ms=4000))
-        link = await home.link()
-        assert await link.call() == ["warm.0"]
-        await link.good("warm.0", after_s=0.05)
-        assert (await warm.answer())[0] == 200
+        client, link = root.client(), await used_link(root, root.home(0))
         async with root.held():
             client.now(request("r1", "read", (0,), timeout_ms=4000))
             sent = trio.current_time()
