--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -27,6 +27,7 @@
 AGAIN_S = 0.005                  # pause before a call that failed for a moment is made again: it must not spin
 STEP_S = 0.002                   # the wall clock and the monotonic one that part by more between two passes show a step
 JITTER_S = 0.001                 # a stamp may lie so far ahead of the least delay learned
+PASS_S = 0.01                    # passes of the scheduler that are nearer to each other count as one
 HELD_S = 0.05                    # a root that looked at nothing for so long, waits aside, was held up
 HELD_FOR_S = 0.25                # for so long after a hold-up, what came during it may still be unread
 OLDEST_S = 10.0                  # data that would have come so long ago was not dated by this clock
@@ -71,22 +72,15 @@
         self.before = self.between = self.last = trio.current_time()       # the last three passes
         self.wall = time.time() - self.last
         self.offsets, self.learned = [], self.last          # monotonic time less stamp; when that was last learned
-        self.wakes = math.inf                               # when the wait under way ends by itself
         self.held_since = self.held_at = -math.inf          # the last hold-up: the pass before it, and its end
 
-    def before_io_wait(self, timeout):
-        now = trio.current_time()
-        self.wakes = now + timeout
-        self.note_hold_up(now, now - self.last)
-
-    def note_hold_up(self, now, lag_s):
-        """Nothing was looked at for so long, though something may have come."""
-        if lag_s > HELD_S:
-            self.held_since, self.held_at = self.before, now
-
     def after_io_wait(self, timeout):
         now = trio.current_time()
-        self.note_hold_up(now, now - self.wakes)
+        gap = now - self.last
+        if gap < PASS_S:
+            return                                          # passes in quick succession count as one: each look costs
+        if gap - timeout > HELD_S:                          # nothing was looked at, though something may have come
+            self.held_since, self.held_at = self.before, now
         wall = time.time() - now
         step, self.wall = wall - self.wall, wall
         if self.offsets and abs(step) > STEP_S:
@@ -125,13 +119,16 @@
         self.socket = sock
 
     async def accept(self):
+        await trio.lowlevel.checkpoint_if_cancelled()
         while True:
             if self.socket.fileno() < 0:
                 raise trio.ClosedResourceError("listener was closed")
-            await trio.lowlevel.wait_readable(self.socket._sock)
+            # Before any wait: in a wave of connections each costs one pass, and nothing to be told of it.
             stream = accept_now(self)
             if stream is not None:
+                await trio.lowlevel.cancel_shielded_checkpoint()
                 return stream
+            await trio.lowlevel.wait_readable(self.socket._sock)
 
     async def aclose(self):
         self.socket.close()
