--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -313,7 +313,7 @@
         late = self.late(query, fresh) if query.open and query.step == 1 else []
         distrusted = self.deaths.count(query.key, self.now) >= DEATHS
         if query.open and (distrusted or 1 - sum(p.weight for p in late) < query.kind.least - NEAR):
-            self.end(query)
+            self.end(query, "its key is distrusted" if distrusted else "would come too late for what it is worth")
         asked, whole = 0.0, query.kind.whole_at - NEAR if query.step == 1 else 1.0
         if whole < 1 - 2 * NEAR:                       # work not needed is not asked for: the quickest are
             seen = {}
@@ -519,7 +519,7 @@
         elif (over or self.now >= query.aim) and query.got >= kind.floor - NEAR:
             self.answer(query, False)
         elif over or self.now >= query.end or 1 - query.lost < kind.least - NEAR:
-            self.end(query)
+            self.end(query, "its time is over" if self.now >= query.end else "too many parts are lost")
 
     def lose(self, part):
         part.lost = True
@@ -534,13 +534,13 @@
         else:
             self.close(query)
 
-    def end(self, query):
+    def end(self, query, why):
         """The final answer of a query given up on, at once; refused only where asking again is harmless."""
         if query.kind.repeat is Repeat.SAFE or not any(part.risks for part in query.parts):
             most = self.s.limits.max_retry_after_us
-            self.act(i.Refuse(query.id, most if self.now >= query.end else min(PAUSE_US, most)))
+            self.act(i.Refuse(query.id, most if self.now >= query.end else min(PAUSE_US, most), why))
         else:
-            self.act(i.GiveUp(query.id))
+            self.act(i.GiveUp(query.id, why))
         self.close(query)
 
     def close(self, query):
--- a/mothnotch/decisions/interface.py
+++ b/mothnotch/decisions/interface.py
@@ -231,11 +231,13 @@
 class Refuse:
     query: str
     retry_after_us: int            # 0: no advice
+    why: str = ""
 
 
 @dataclass(slots=True, frozen=True)
 class GiveUp:
     query: str
+    why: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/mothnotch/decisions/links.py
+++ b/mothnotch/decisions/links.py
@@ -36,12 +36,21 @@
     return max(1, streams - 1)
 
 
-def held_back(takes_new, over, too_late, left_s):
+LOOK_AGAIN_S = 0.02               # sockets that were last looked at so long ago may hold a client's leaving
+
+
+def may_have_left(since_s):
+    """Whether a client may have left without its root having seen it: nothing has been read for so long."""
+    return since_s > LOOK_AGAIN_S
+
+
+def held_back(takes_new, over, too_late, left_s, not_now=False):
     """How an attempt ends that has waited and may not go out any more; None if it may. Asked at the last point before
     its first byte leaves: of the leaf, told to drain or gone or at another address by now; of whether it is over, as its
-    client left or another attempt brought the part; of whether it is too late for a repeat; of the time it still has. Guards
-    against work for nobody and effects twice. Harm: none, none of it has run."""
-    if not takes_new or over or too_late:
+    client left or another attempt brought the part; of whether it is too late for a repeat; of the time it still has; and
+    `not_now`: whether the client's leaving lies unread, or no budget of further attempts is left at this moment. Guards
+    against work for nobody, effects twice and a budget overdrawn. Harm: none, none of it has run."""
+    if not takes_new or over or too_late or not_now:
         return Result.UNSENT
     return Result.UNREACHABLE if left_s <= 0 else None
 
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -5,6 +5,7 @@
 `datagrams(address)`, which has `name`, `receive(most)`, `send(address, data)` and `close()`: sending takes no time, and
 what will not go is lost, as any datagram may be.
 """
+import errno
 import heapq
 import itertools
 import socket
@@ -16,6 +17,9 @@
 STAMP = getattr(socket, "SO_TIMESTAMPNS", 35)      # Linux: control messages with the time a segment came
 STAMPED = struct.Struct("@ll")
 ANCILLARY = socket.CMSG_SPACE(STAMPED.size) if hasattr(socket, "CMSG_SPACE") else 0
+# Errors by which Linux says that a call may succeed a moment later; the connection itself is sound.
+FOR_A_MOMENT = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+AGAIN_S = 0.005                  # pause before a call that failed for a moment is made again: it must not spin
 
 
 class AddressError(ValueError):
@@ -37,6 +41,16 @@
     (stream.socket if hasattr(stream, "socket") else stream).close()
 
 
+class ArrivalClock(trio.abc.Instrument):
+    """Knows when sockets were last looked at."""
+
+    def __init__(self):
+        self.last = trio.current_time()
+
+    def after_io_wait(self, timeout):
+        self.last = trio.current_time()
+
+
 class Datagrams:
     """A UDP socket over IPv4."""
 
@@ -73,6 +87,7 @@
 
     def __init__(self, threads=2):
         self.limiter = trio.CapacityLimiter(threads)
+        self.arrivals = None                           # an ArrivalClock, from the first stream on
 
     def wall(self):
         """Seconds of the wall clock."""
@@ -119,12 +134,14 @@
 
     def prepare(self, stream):
         """Makes a stream ready for `receive`: the kernel notes when data comes, and small writes leave at once."""
-        sock = stream.socket
-        try:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.SOL_SOCKET, STAMP, 1)
-        except OSError:
-            pass                                       # a Unix socket, or a kernel without it: read time counts
+        if self.arrivals is None:
+            self.arrivals = ArrivalClock()
+            trio.lowlevel.add_instrument(self.arrivals)
+        for level, option in ((socket.IPPROTO_TCP, socket.TCP_NODELAY), (socket.SOL_SOCKET, STAMP)):
+            try:
+                stream.socket.setsockopt(level, option, 1)
+            except OSError:
+                pass                                   # a Unix socket, or a kernel without it: read time counts
 
     async def receive(self, stream, most):
         """(data, when it came): what a socket holds, `most` bytes at once, b"" at its end, and the time on trio's
@@ -161,6 +178,17 @@
         sock.setblocking(False)
         return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
 
+    def since_polled(self):
+        """Seconds since sockets were last looked at for what has come."""
+        return trio.current_time() - self.arrivals.last if self.arrivals is not None else 0.0
+
+    def has_left(self, stream):
+        """Whether the peer has ended or reset the connection and nothing of it lies unread: seen without waiting."""
+        try:
+            return stream.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except OSError as error:
+            return error.errno not in FOR_A_MOMENT
+
     def end(self, stream):
         """Says that nothing more is sent, at once; what comes is still read."""
         stream.socket.shutdown(socket.SHUT_WR)
@@ -379,6 +407,12 @@
     def receive_now(self, stream, most):
         return stream.receive_now(most)
 
+    def since_polled(self):
+        return 0.0
+
+    def has_left(self, stream):
+        return stream.closed or not stream.buffer and (stream.ended or stream.peer.closed)
+
     def accept_now(self, listener):
         try:
             return listener.receive.receive_nowait()
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -13,10 +13,13 @@
 
 from mothnotch.decisions import interface as i
 from mothnotch.decisions import links
+from mothnotch.decisions.invariants import TOLD_SLACK_S, Invariant, Violations
 from mothnotch.leaves.timeouts import Timeouts
 from mothnotch.net import shut
 from mothnotch.node import frames
+from mothnotch.node.closing import LeafClose
 from mothnotch.outgoing import GONE, Outgoing
+from mothnotch.root.trace import Trace
 
 READ = 1 << 15                   # bytes read at once
 SPENT = 1024                     # ids given up and not answered yet, with which a connection takes nothing new
@@ -73,7 +76,7 @@
         if not any(self.calls.held_back(attempt, now) for _, _, attempts in self.ends for attempt in attempts):
             return False
         self.calls.counts["held_back"] += 1
-        self.calls.lost(self)
+        self.calls.lost(self, LeafClose.WITHDRAWN)
         return True
 
     def drop_waiting(self, result):
@@ -89,10 +92,11 @@
             went = int(trio.current_time() * 1e6)
             for attempt in self.ends.popleft()[2]:
                 attempt.call.went = True
+                self.calls.check_copy(self, attempt)
                 attempt.went(went)
 
     def lost(self):
-        self.calls.lost(self)
+        self.calls.lost(self, LeafClose.ENDED)
 
 
 class Ticket:
@@ -117,6 +121,9 @@
         self.most, self.idle_s, self.connect_s, self.copies = most, idle_s, connect_s, copies
         self.leaves, self.open = {}, 0
         self.timeouts, self.hearing = Timeouts(self.timed_out), links.Hearing()
+        self.violations, self.trace = Violations(log.error), Trace()
+        self.given_up = {}                   # wire id -> the connection on which it is given up and not answered yet
+        self.closed = dict.fromkeys(LeafClose, 0)
         self.counts = {"connects": 0, "connects_failed": 0, "frames": 0, "given_up": 0, "spoilt": 0, "over_most": 0,
                        "late": 0, "silent": 0, "held_back": 0}
 
@@ -163,16 +170,16 @@
         self.withdraw(leaf)
         for link in list(leaf.links):
             link.no_more = True
-            self.close_if_idle(link)
+            self.close_if_idle(link, LeafClose.RETIRED)
 
     def disconnect(self, name):
         leaf = self.leaves.get(name)
         for link in list(leaf.links) if leaf else ():
-            self.close_if_idle(link)
+            self.close_if_idle(link, LeafClose.ASKED)
 
-    def close_if_idle(self, link):
+    def close_if_idle(self, link, reason):
         if link.stream is not None and not link.load:
-            self.lost(link)
+            self.lost(link, reason)
 
     # ---- sending ----
 
@@ -212,16 +219,25 @@
             if link.no_more or link.load + len(ids) > self.places:
                 continue
             if not link.load and links.overdue(trio.current_time() - link.idle_since, self.idle_s):
-                self.lost(link)
+                self.lost(link, LeafClose.IDLE)
             elif not any(x in link.spent or x in link.out for x in ids):
                 return link
         return None
 
     @staticmethod
-    def held_back(attempt, now, takes_new=True):
+    def held_back(attempt, now, takes_new=True, not_now=False):
         """How an attempt that has waited ends if it may not go (on) any more, else None. A drain counts from a frame's
         first byte: for one that is partly out nothing is asked of the leaf."""
-        return links.held_back(takes_new, attempt.over, attempt.too_late, attempt.deadline - now)
+        return links.held_back(takes_new, attempt.over, attempt.too_late, attempt.deadline - now, not_now)
+
+    def check_copy(self, link, attempt):
+        """An attempt went out: an earlier one of its part must not still be out at a leaf that cannot read that it is
+        given up."""
+        earlier = self.given_up.get(attempt.call.wire_id)
+        if earlier is not None and not self.copies:
+            unread = earlier.sending or len(earlier.out) + len(earlier.spent) >= self.streams
+            self.violations.check(not unread, Invariant.SECOND_COPY, wire_id=attempt.call.wire_id,
+                                  leaf=link.leaf.name, earlier=earlier.leaf.name)
 
     def write(self, link, attempts):
         """Writes one call's frame, of those that may still go."""
@@ -236,8 +252,15 @@
                 continue
             link.out[attempt.call.wire_id] = attempt
             going.append(attempt)
-            parts.append((attempt.call.wire_id, attempt.part.spec.shard, max(1, int((attempt.deadline - now) * 1000)),
-                          attempt.payload.key, attempt.payload.text))
+            told_ms = max(1, int((attempt.deadline - now) * 1000))
+            left_s = attempt.part.query.request.deadline_us / 1e6 - now
+            self.violations.check(told_ms / 1000 <= max(0, left_s) + TOLD_SLACK_S, Invariant.TOLD_TOO_LONG,
+                                  wire_id=attempt.call.wire_id, told_ms=told_ms, left_s=left_s)
+            if self.trace.on:
+                self.trace.note("sent", wire_id=attempt.call.wire_id, part=attempt.part.id, attempt=attempt.n,
+                                leaf=link.leaf.name, link=id(link), told_ms=told_ms, out=len(link.out),
+                                given_up=len(link.spent))
+            parts.append((attempt.call.wire_id, attempt.part.spec.shard, told_ms, attempt.payload.key, attempt.payload.text))
         if going:
             self.counts["frames"] += 1
             data = frames.call(parts)
@@ -247,7 +270,8 @@
     # ---- answers ----
 
     async def read(self, link):
-        """The task of a connection: takes in what the leaf says until it is gone."""
+        """Takes in what the leaf says until it is gone."""
+        reason = LeafClose.ENDED
         try:
             while not link.dead:
                 data, at = await self.network.receive(link.stream, READ)
@@ -263,14 +287,16 @@
                 if error is not None:
                     raise error
         except frames.FrameError as error:
+            reason = LeafClose.SPOILT
             self.counts["spoilt"] += 1
             self.log.warning("leaf broke the protocol", leaf=link.leaf.name, error=str(error))
         except GONE:
             pass
         except Exception as error:
             # A defect of the root's must cost this connection's parts, not every client of this root.
+            reason = LeafClose.DEFECT
             self.log.error("unexpected error", leaf=link.leaf.name, error=repr(error), exc_info=True)
-        self.lost(link)
+        self.lost(link, reason)
 
     def take(self, link, letter, rest, at_us):
         if letter == b"q":
@@ -280,6 +306,7 @@
                 if wire_id not in link.spent:
                     raise frames.FrameError("an answer to nothing that is out")
                 del link.spent[wire_id]           # given up before: it counts for nothing
+                self.given_up.pop(wire_id, None)
                 self.counts["late"] += 1
             elif not attempt.call.went:
                 link.out[wire_id] = attempt
@@ -299,7 +326,7 @@
         if not link.load and not link.dead:
             link.idle_since = trio.current_time()
             if link.no_more:
-                self.lost(link)
+                self.lost(link, LeafClose.RETIRED)
 
     # ---- ends ----
 
@@ -321,9 +348,13 @@
             self.counts["silent"] += 1
         if not ticket.went or links.closes(full, link.sending, attempt.part.query.outcome is not None, self.copies):
             # Of a frame that is partly out none may run; of one that is out, only a close is quick enough.
-            self.lost(link)
+            self.lost(link, LeafClose.GIVEN_UP)
             return
         link.spent[wire_id] = None
+        self.given_up[wire_id] = link
+        if self.trace.on:
+            self.trace.note("given up", wire_id=wire_id, leaf=link.leaf.name, link=id(link), out=len(link.out),
+                            given_up=len(link.spent), waits=link.sending)
         if len(link.spent) >= SPENT:
             link.no_more = True                   # none is forgotten: its late answer would count as a broken protocol
         link.send(frames.give_up(wire_id))
@@ -334,11 +365,18 @@
         attempt.end(i.Result.TIMEOUT if ticket.went else i.Result.UNREACHABLE)
         self.give_up(ticket, attempt)
 
-    def lost(self, link):
+    def lost(self, link, reason):
         """The connection is gone: what went out on it is reset, the rest never ran."""
         if link.dead:
             return
         link.dead = True
+        self.closed[reason] += 1
+        if self.trace.on:
+            self.trace.note("leaf connection closed", leaf=link.leaf.name, link=id(link), reason=reason.name,
+                            out=list(link.out), waiting=len(link.waiting))
+        for wire_id in link.spent:
+            if self.given_up.get(wire_id) is link:
+                del self.given_up[wire_id]
         self.open -= 1
         link.leaf.links.remove(link)
         if link.stream is not None:
@@ -377,7 +415,7 @@
             self.counts["connects_failed"] += 1
             if stream is not None:
                 shut(stream)
-            self.lost(link)
+            self.lost(link, LeafClose.CONNECT_FAILED)
             return
         self.network.prepare(stream)
         link.stream = stream
@@ -386,7 +424,7 @@
         if link.dead:
             return
         if link.no_more:
-            self.close_if_idle(link)
+            self.close_if_idle(link, LeafClose.RETIRED)
         await self.read(link)
 
     async def sweep(self):
@@ -397,4 +435,4 @@
             for leaf in list(self.leaves.values()):
                 for link in list(leaf.links):
                     if links.overdue(now - link.idle_since, self.idle_s):
-                        self.close_if_idle(link)
+                        self.close_if_idle(link, LeafClose.IDLE)
--- /dev/null
+++ b/mothnotch/node/closing.py
@@ -0,0 +1,33 @@
+"""Why connections end: a reason for every close, counted, and said in the record."""
+from enum import Enum
+
+
+class ClientClose(Enum):
+    """Why the connection of a client was closed."""
+    LEFT = "the client ended or reset it"
+    LAST_ANSWER = "its last answer was out, and the client had its time to read it"
+    TOO_MUCH_BEHIND = "too much came behind its last answer"
+    SHED = "too many connections"
+    IDLE = "idle for its time"
+    ANSWER_NOT_TAKEN = "an answer was not taken in time"
+    STOPPING = "idle at the stop of the root"
+    DEFECT = "an unexpected error"
+
+    @property
+    def by_root(self):
+        """Whether the root ended it of its own accord."""
+        return self is not ClientClose.LEFT
+
+
+class LeafClose(Enum):
+    """Why the connection to a leaf was closed."""
+    CONNECT_FAILED = "no connection came up"
+    ENDED = "the leaf ended or reset it"
+    SPOILT = "the leaf broke the protocol"
+    IDLE = "idle for its time"
+    RETIRED = "its leaf is gone or moved, or it fell silent, and nothing is out on it"
+    GIVEN_UP = "an attempt on it was given up, and a word would have been read too late"
+    WITHDRAWN = "a frame partly out must not go on"
+    PLACES_TAKEN = "all places are taken by what was given up"
+    ASKED = "the module asked for new connections"
+    DEFECT = "an unexpected error"
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -15,9 +15,11 @@
 import trio
 
 from mothnotch.decisions import shares
+from mothnotch.decisions.invariants import Invariant
 from mothnotch.decisions.outcomes import Final
 from mothnotch.net import serve, shut
 from mothnotch.node import requests
+from mothnotch.node.closing import ClientClose
 from mothnotch.outgoing import GONE, Outgoing
 from mothnotch.root.core import Full
 
@@ -61,12 +63,12 @@
         """Takes what the client sent; b"" is its end."""
         self.at = at
         if not data:
-            self.front.close(self)
+            self.front.close(self, ClientClose.LEFT)
             return
         if self.closing:
             self.away += len(data)
             if self.parting and self.away > AWAY:
-                self.front.close(self)
+                self.front.close(self, ClientClose.TOO_MUCH_BEHIND)
             return
         if self.query is not None:
             self.ahead += len(data)
@@ -74,9 +76,13 @@
                 return                         # never read: the open request's answer is the last one here
         elif not self.partial:
             self.partial, self.since = True, at
-        self.http.receive_data(data)
+        self.keep(data, at)
         self.advance()
 
+    def keep(self, data, at):
+        """Hands data to h11."""
+        self.http.receive_data(data)
+
     def advance(self):
         """Goes on as far as what has come allows: to the end of it, or to an open query."""
         while self.query is None and not self.rest and not self.dead and not self.closing:
@@ -157,7 +163,7 @@
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.answer(status, requests.encode({"error": text[:200]}), close=True)
         else:
-            self.front.close(self)
+            self.front.close(self, ClientClose.DEFECT)
 
     def through(self):
         if self.closing:
@@ -166,7 +172,7 @@
             self.front.drive(self, self.advance)
 
     def lost(self):
-        self.front.close(self)
+        self.front.close(self, ClientClose.LEFT)
 
 
 class Front:
@@ -176,6 +182,7 @@
         self.core, self.config, self.network, self.log, self.share, self.ready = core, config, network, log, share, ready
         self.clients, self.names = {}, set()             # clients: in the order they came
         self.stopping, self.ends = False, math.inf       # ends: when all has to be answered
+        self.closed = dict.fromkeys(ClientClose, 0)
         self.counts = {"connections": 0, "requests": 0, "bad": 0, "shed": 0, "slow": 0}
 
     async def run(self, listeners, task_status=trio.TASK_STATUS_IGNORED):
@@ -198,12 +205,12 @@
             if len(self.clients) <= self.share.clients:
                 break
             if client.parting:
-                self.close(client)
+                self.close(client, ClientClose.LAST_ANSWER)
             elif self.unasked(client):
                 self.counts["shed"] += 1
                 if not client.served:
                     client.fail(503, "too many connections")
-                self.close(client)
+                self.close(client, ClientClose.SHED)
 
     async def connection(self, stream):
         """The task of a connection."""
@@ -213,6 +220,7 @@
         self.network.prepare(stream)
         if len(self.clients) > self.share.clients:
             self.shed()
+        reason = ClientClose.LEFT
         try:
             while not client.dead:
                 most = READ
@@ -230,8 +238,9 @@
         except GONE:
             pass
         except Exception as error:
+            reason = ClientClose.DEFECT
             self.broken(client, error)
-        self.close(client)
+        self.close(client, reason)
 
     def broken(self, client, error):
         """A defect of the root's must cost this connection, not every client of this root; what was taken is answered."""
@@ -245,7 +254,7 @@
         except Exception as again:
             self.log.error("unexpected error", error=repr(again))
         if not client.parting:
-            self.close(client)
+            self.close(client, ClientClose.DEFECT)
 
     def drive(self, client, step, *args):
         """Goes on with a client's protocol; what cannot be read ends the connection with an error."""
@@ -267,7 +276,7 @@
         try:
             self.network.end(client.stream)
         except GONE:
-            self.close(client)
+            self.close(client, ClientClose.LEFT)
 
     def unasked(self, client):
         """Whether an idle connection may be closed: not if something has come on it that is not read yet."""
@@ -279,10 +288,17 @@
             self.drive(client, client.feed, data, trio.current_time())
         return not data
 
-    def close(self, client):
+    def close(self, client, reason):
+        """Ends a connection. What is open on it is given up; of its own accord the root ends none with anything open."""
         if client.dead:
             return
         client.dead = True
+        self.closed[reason] += 1
+        if reason.by_root and reason is not ClientClose.DEFECT:
+            self.core.violations.check(client.query is None, Invariant.CLOSED_UNANSWERED, request=client.name,
+                                       reason=reason.name)
+        if self.core.trace.on:
+            self.core.trace.note("client connection closed", client=id(client), reason=reason.name, request=client.name)
         self.clients.pop(client, None)
         shut(client.stream)
         if client.query is not None:
@@ -308,13 +324,17 @@
             except Exception as error:
                 self.broken(client, error)           # else this turn of the core would end, and all that it holds
 
+        self.core.violations.check(not client.dead, Invariant.BEGUN_FOR_NOBODY, request=name)
         try:
-            client.query = self.core.begin(request, finished)
+            client.query = self.core.begin(request, finished, lambda: self.network.has_left(client.stream))
         except Full as full:
             client.answer(503, requests.encode({"error": str(full)}), retry_after_us=full.args[1])
             return
         client.name = name
         self.names.add(name)
+        if self.core.trace.on:
+            self.core.trace.note("request", request=name, query=client.query.id, client=id(client),
+                                 arrived_us=int(client.at * 1e6), deadline_us=request.deadline_us)
 
     def finish(self, client, query, outcome):
         """Sends the final answer of a client's open query, then reads on."""
@@ -339,8 +359,12 @@
                     self.counts["slow"] += not client.served
                     if client.partial and not client.closing:
                         client.fail(408, "the request did not come whole in time")
-                    elif client.rest or client.parting or self.unasked(client):
-                        self.close(client)
+                    elif client.parting:
+                        self.close(client, ClientClose.LAST_ANSWER)
+                    elif client.rest:
+                        self.close(client, ClientClose.ANSWER_NOT_TAKEN)
+                    elif self.unasked(client):
+                        self.close(client, ClientClose.IDLE)
 
     def stop(self, listeners):
         """No new connections but those that wait already, and none that is idle; what was taken is answered, each with
@@ -351,4 +375,4 @@
                 self.nursery.start_soon(self.connection, stream)
         for client in list(self.clients):
             if client.idle and client.served and not client.parting and self.unasked(client):
-                self.close(client)
+                self.close(client, ClientClose.STOPPING)
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -10,6 +10,8 @@
 from mothnotch.node.discovery import Watch
 from mothnotch.node.front import Front
 from mothnotch.root.core import Core
+from mothnotch.root.trace import Trace
+
 
 
 class NodeRoot:
@@ -20,6 +22,8 @@
         self.calls = Calls(network, log, config.streams, s.parts_per_call, self.share.leaf_connections,
                            self.share.leaf_idle_s, (s.limits.connect_timeout_us or 1_000_000) / 1e6, s.limits.second_copies)
         self.core = Core(s, config.seed, self.calls, log, most_open=config.most_open)
+        self.core.trace = self.calls.trace = Trace.from_environment()
+        self.calls.violations = self.core.violations
         self.watch = Watch(network, config.discovery, self.core, self.calls, log, Random(config.seed).random)
         self.front = Front(self.core, config, network, log, self.share, self.watch.ready)
         self.addresses = []
@@ -43,7 +47,10 @@
 
     def counts(self):
         return {**self.core.counts, **self.calls.counts, **self.front.counts, "open_clients": len(self.front.clients),
-                "open_links": self.calls.open}
+                "open_links": self.calls.open, "violations": self.core.violations.counts,
+                "clients_closed": {reason.name: n for reason, n in self.front.closed.items() if n},
+                "leaf_connections_closed": {reason.name: n for reason, n in self.calls.closed.items() if n},
+                "given_up_for": self.core.reasons}
 
     def reload(self):
         """Reads the configuration again; a file that is wrong keeps the old one."""
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -12,8 +12,10 @@
 from mothnotch.decisions import coverage, shares
 from mothnotch.decisions import interface as i
 from mothnotch.decisions.balance import Balancer
+from mothnotch.decisions.invariants import FINAL_SLACK_S, Invariant, SlowStart, Violations
 from mothnotch.decisions.outcomes import Final
 from mothnotch.root.request import Outcome
+from mothnotch.root.trace import Trace
 
 
 def now_us():
@@ -44,6 +46,10 @@
 
     def went(self, at_us):
         """Its bytes are out: from now on it may run."""
+        core, violations = self.core, self.core.violations
+        violations.check(not self.over, Invariant.SENT_AFTER_END, part=self.part.id, server=self.server)
+        violations.check(not self.too_late, Invariant.SENT_PAST_WINDOW, part=self.part.id, server=self.server)
+        violations.check(core.slow_start.went(self.server, at_us), Invariant.SLOW_START_EXCEEDED, server=self.server)
         self.went_us = self.part.went[self.n] = at_us
 
     @property
@@ -89,6 +95,8 @@
             self.part.server, self.part.answered_us = self.server, now_us()
         else:
             self.part.last = result
+        if self.core.trace.on:
+            self.core.trace.note("attempt ended", part=self.part.id, attempt=self.n, leaf=self.server, result=result.value)
         if result in i.NEVER_RAN:
             self.part.went.pop(self.n, None)
         if self.spool is not None:
@@ -126,6 +134,7 @@
     number: int
     request: object
     finished: object                               # called once with the outcome, in the turn that decided it
+    has_left: object = lambda: False               # looks whether the client has left, if that is not told yet
     parts: list = field(default_factory=list)
     outcome: Outcome | None = None
     room: object = None                            # what its rows are held in, once one has come
@@ -160,17 +169,29 @@
                        "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0, "full": 0, "broken": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
+        self.reasons = {}                          # of what was refused or given up, as the module says: how many
+        self.violations = Violations(log.error)
+        self.slow_start = SlowStart(settings.rules, self.mean_work_us)
+        self.trace = Trace()                       # of what is done with each query; off unless set
         self.guard = True                          # watches over the client's time; off only to test the auditor
 
     # ---- what fronts call ----
 
-    def begin(self, request, finished):
-        """Takes a request; `finished(outcome)` is called once, from the turn that decides it. Raises Full."""
+    def mean_work_us(self):
+        """Mean work of a part, with its share of a call, as the module believes."""
+        known = self.balancer.class_cost.values()
+        return (sum(known) / len(known) if known else self.balancer.aim_us / 10) + self.settings.call_work_us
+
+    def begin(self, request, finished, has_left=None):
+        """Takes a request; `finished(outcome)` is called once, from the turn that decides it. Raises Full. `has_left()`
+        looks whether the client has left, where its leaving may lie unread."""
         if len(self.queries) >= self.most_queries or len(self.queries) + len(self.parts) >= self.most_open:
             self.counts["full"] += 1
             raise Full(f"{len(self.queries)} queries and {len(self.parts)} parts are open", 0)
         number = next(self.numbers)
         query = Query(f"q{number}", number, request, finished)
+        if has_left is not None:
+            query.has_left = has_left
         self.queries[query.id] = query
         self.counts["queries"] += 1
         self.post(i.QueryArrived(query.id, number, request.class_name, request.tenant, request.key,
@@ -216,6 +237,7 @@
 
     def news(self, news):
         """News about the list of leaves."""
+        self.slow_start.listed(news.entries)
         self.post(news)
 
     # ---- books ----
@@ -236,6 +258,9 @@
             self.leave(query, Outcome(Final.ANSWERED, error=error))
 
     def close(self, query, outcome):
+        self.violations.check(query.outcome is None, Invariant.ANSWERED_TWICE, query=query.id)
+        late_s = trio.current_time() - query.request.deadline_us / 1e6
+        self.violations.check(late_s < FINAL_SLACK_S, Invariant.FINAL_LATE, query=query.id, late_s=late_s)
         query.outcome = outcome
         if query.room is not None:
             if outcome.final is Final.ANSWERED and outcome.error is None:
@@ -369,6 +394,9 @@
             attempt.end(i.Result.UNSENT)
             return
         self.counts["sends"] += 1
+        if self.trace.on:
+            self.trace.note("attempt", part=action.part, attempt=attempt.n, leaf=action.server, limit_us=action.limit_us,
+                            after=part.last.value if part.last else None)
         self.sends.setdefault(action.server, []).append(attempt)
 
     def on_cancel(self, action):
@@ -390,9 +418,13 @@
         if attempt.call is not None:
             attempt.call.dropped(attempt)
 
-    def finish(self, query_id, outcome, count):
+    def finish(self, query_id, outcome, count, why=""):
         query = self.queries.get(query_id)
         if query is not None:                    # else the client left in this very turn
+            if self.trace.on:
+                self.trace.note("final", query=query_id, outcome=count, why=why)
+            if why:
+                self.reasons[why] = self.reasons.get(why, 0) + 1
             self.counts[count] += 1
             self.close(query, outcome)
 
@@ -409,13 +441,13 @@
         self.finish(action.query, Outcome(Final.ANSWERED, action.whole, rows=rows, took=took, why=why, read=read), "answered")
 
     def on_refuse(self, action):
-        self.finish(action.query, Outcome(Final.REFUSED, retry_after_us=action.retry_after_us), "refused")
+        self.finish(action.query, Outcome(Final.REFUSED, retry_after_us=action.retry_after_us), "refused", action.why)
 
     def on_give_up(self, action):
         query = self.queries.get(action.query)
         # Its attempts are called off in this very turn, so that no COMMIT can go out any more.
         ran = not self.settings.limits.cancel or query is not None and any(p.committing for p in query.parts)
-        self.finish(action.query, Outcome(Final.FAILED, may_have_run=ran), "failed")
+        self.finish(action.query, Outcome(Final.FAILED, may_have_run=ran), "failed", action.why)
 
     def on_wake(self, action):
         heapq.heappush(self.wakes, self.now + action.delay_us)
