--- a/mothnotch/decisions/balance.py
+++ b/mothnotch/decisions/balance.py
@@ -400,7 +400,8 @@
         # Guards against a burst in which heavy work is moved to and fro, which only makes more of it.
         wait = max(patience, min(MOVE * usual, aim)) if self.s.rules.budget_share is None else patience
         # Where nothing can be cancelled, a time-out is the only way to leave a stuck attempt.
-        limit = part.query.end - self.now if self.s.limits.cancel or not self.may_repeat(part) else patience
+        left = part.query.end - self.now
+        limit = left if self.s.limits.cancel or not self.may_repeat(part) else min(left, patience)
         repeat_us = part.query.kind.repeat_us - self.s.tick_us
         self.act(i.Send(part.id, server.id, max(self.s.tick_us, limit), repeat_us))
         self.later(wait, self.review, attempt)
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -86,8 +86,12 @@
             attempt.end(result)
 
     def took(self, n):
-        """Frames that are out whole may run from now on."""
-        self.given += n
+        """Frames of which the first byte left now have left; those that are out whole may run from now on."""
+        before, self.given = self.given, self.given + n
+        for begins, _, attempts in self.ends:
+            if before <= begins < self.given:
+                for attempt in attempts:
+                    attempt.leaves()
         while self.ends and self.ends[0][1] <= self.given:
             went = int(trio.current_time() * 1e6)
             for attempt in self.ends.popleft()[2]:
@@ -249,7 +253,8 @@
         for attempt in attempts:
             if attempt.ended:
                 continue
-            end = self.held_back(attempt, now, link.leaf.takes_new and link.address == link.leaf.address)
+            end = self.held_back(attempt, now, link.leaf.takes_new and link.address == link.leaf.address,
+                                 attempt.over_budget(going))
             if end is not None:
                 self.counts["held_back"] += 1
                 attempt.end(end)
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -10,6 +10,7 @@
 meanwhile: `unasked`), or at once. A client's end of sending counts as its leaving.
 """
 import math
+from collections import deque
 
 import h11
 import trio
@@ -38,7 +39,8 @@
         self.front, self.http = front, h11.Connection(h11.SERVER)
         self.query, self.name, self.head, self.body, self.method = None, None, None, bytearray(), None
         self.since = trio.current_time()      # of connecting, of the first byte of a request, of the last answer
-        self.at = self.since                  # when the last data came
+        self.arrived = deque()                # (bytes read so far, when the last of them came), of what is not used up
+        self.read, self.at = 0, self.since    # bytes handed to h11; when the last byte of the request at hand came
         self.partial, self.closing, self.ahead, self.served = False, False, 0, False
         self.parting, self.away = False, 0    # the last answer is out; bytes thrown away since
 
@@ -61,7 +63,6 @@
 
     def feed(self, data, at):
         """Takes what the client sent; b"" is its end."""
-        self.at = at
         if not data:
             self.front.close(self, ClientClose.LEFT)
             return
@@ -80,7 +81,11 @@
         self.advance()
 
     def keep(self, data, at):
-        """Hands data to h11."""
+        """Hands data to h11, and notes when it came: a request counts from its own last byte, not from what follows."""
+        if not self.http.trailing_data[0]:
+            self.arrived.clear()               # all that came before is used up
+        self.read += len(data)
+        self.arrived.append((self.read, at))
         self.http.receive_data(data)
 
     def advance(self):
@@ -124,6 +129,10 @@
         """A whole request is in."""
         head, body, self.head, self.body = self.head, self.body, None, bytearray()
         self.partial, self.ahead = False, len(self.http.trailing_data[0])      # what came with it counts for the next
+        while self.arrived and self.arrived[0][0] < self.read - self.ahead:
+            self.arrived.popleft()
+        if self.arrived:                       # the data that held its last byte
+            self.at = self.arrived[0][1]
         path, _, query = head.target.decode("latin-1").partition("?")
         if path == "/api" and head.method == b"POST":
             self.front.ask(self, query, head.headers, bytes(body))
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -12,6 +12,7 @@
 from mothnotch.decisions import coverage, shares
 from mothnotch.decisions import interface as i
 from mothnotch.decisions.balance import Balancer
+from mothnotch.decisions.budget import FurtherAttempts
 from mothnotch.decisions.invariants import FINAL_SLACK_S, Invariant, SlowStart, Violations
 from mothnotch.decisions.outcomes import Final
 from mothnotch.root.request import Outcome
@@ -41,8 +42,8 @@
 
     @property
     def deadline(self):
-        """When it times out, in trio's seconds."""
-        return (self.sent_us + self.limit_us) / 1e6
+        """When it times out, in trio's seconds: never after its client's time, which its leaf is told."""
+        return min(self.sent_us + self.limit_us, self.part.query.request.deadline_us) / 1e6
 
     def went(self, at_us):
         """Its bytes are out: from now on it may run."""
@@ -59,6 +60,18 @@
         others = [at for n, at in self.part.went.items() if n != self.n]
         return bool(others) and now_us() > min(others) + self.repeat_us
 
+    def over_budget(self, others):
+        """Whether it is a further attempt of its part, for which no budget is left at this moment. `others`: attempts that
+        are to leave with it."""
+        ahead = sum(other.part.left for other in others)
+        return self.part.left and not self.core.further.may_leave(now_us(), ahead)
+
+    def leaves(self):
+        """Its first byte is about to leave."""
+        if self.part.left:
+            self.core.further.leaves(now_us())
+        self.part.left = True
+
     @property
     def over(self):
         """Whether nobody needs it any more: its part is in, by another attempt, or its query has had its answer."""
@@ -125,6 +138,7 @@
     server: str = ""                               # that brought them, and when
     answered_us: int = 0
     last: object = None                            # how its last attempt without an answer ended
+    left: bool = False                             # an attempt of its has left the root, in part at least
     committing: bool = False                       # a COMMIT of its went out: it may have taken effect
 
 
@@ -171,6 +185,7 @@
         self.clock = None
         self.reasons = {}                          # of what was refused or given up, as the module says: how many
         self.violations = Violations(log.error)
+        self.further = FurtherAttempts(settings.rules)
         self.slow_start = SlowStart(settings.rules, self.mean_work_us)
         self.trace = Trace()                       # of what is done with each query; off unless set
         self.guard = True                          # watches over the client's time; off only to test the auditor
@@ -194,6 +209,7 @@
             query.has_left = has_left
         self.queries[query.id] = query
         self.counts["queries"] += 1
+        self.further.took(now_us(), len(request.parts))
         self.post(i.QueryArrived(query.id, number, request.class_name, request.tenant, request.key,
                                  request.deadline_us, request.cost_us, request.repeated))
         for n, spec in enumerate(request.parts):
@@ -316,7 +332,13 @@
             if query.outcome is None:
                 self.counts["overdue"] += 1
                 self.log.error("no final answer in the client's time", query=query.id, class_name=query.request.class_name)
-                self.leave(query, Outcome(Final.FAILED))
+                self.leave(query, self.undecided(query))
+
+    @staticmethod
+    def undecided(query):
+        """The final answer of a query that the module did not end: refused if nothing of it was sent."""
+        ran = any(part.sends for part in query.parts)
+        return Outcome(Final.FAILED if ran else Final.REFUSED, may_have_run=ran)
 
     def turn(self):
         now, events = now_us(), self.events
@@ -344,8 +366,7 @@
         for query in broken:
             if query.outcome is None:
                 self.counts["broken"] += 1
-                ran = any(part.sends for part in query.parts)
-                self.leave(query, Outcome(Final.FAILED if ran else Final.REFUSED, may_have_run=ran))
+                self.leave(query, self.undecided(query))
         self.sweep()
         for server, attempts in self.sends.items():
             if attempts:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -3,6 +3,7 @@
 import trio
 
 from mothnotch.decisions import interface as i
+from mothnotch.decisions.budget import FurtherAttempts
 from mothnotch.standins.platform import request
 from tests.platform_day import options
 from tests.test_ends import ids, real, rig, until
@@ -10,6 +11,25 @@
 S = 1_000_000
 
 
+def rules(share=0.1, free=1, window_us=S):
+    return i.Rules(20_000, 0.2, 9 * S, 3.0, 3 * S, share, free, window_us)
+
+
+def test_the_window_is_that_of_leaving():
+    budget = FurtherAttempts(rules())
+    budget.took(0, 19)                                   # 20 in all: 1 + 2
+    for n in range(3):
+        assert budget.may_leave(n)
+        budget.leaves(n)
+    assert not budget.may_leave(3)
+    assert budget.may_leave(S + 5)                       # those have left the window; so has what was taken
+    budget.leaves(S + 5)
+    assert not budget.may_leave(S + 6)
+
+
+def test_no_budget_bounds_nothing():
+    budget = FurtherAttempts(rules(share=None))
+    assert all(budget.may_leave(0) for _ in range(100))
 
 
 @real
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -36,6 +36,22 @@
         await r.empty()
 
 
+@real
+async def test_a_request_sent_ahead_whose_time_is_over_is_refused_when_its_turn_comes():
+    async with rig() as r:
+        home, client = r.home(0), r.client()
+        client.now(request("r1", "read", (0,), timeout_ms=4000))
+        link = await home.link()
+        assert await link.call() == ["r1.0"]
+        client.now(request("r2", "read", (0,), timeout_ms=300))
+        await trio.sleep(0.6)
+        client.now(request("r3", "read", (1,), timeout_ms=4000)[:40])
+        await trio.sleep(0.1)
+        await link.good("r1.0")
+        assert (await client.answer())[0] == 200 and (await client.answer())[0] == 503
+        await link.nothing()
+
+
 async def serve_links(r, leaf):
     while True:
         r.nursery.start_soon(serve, await leaf.link(), 0.02)
