--- a/mothnotch/decisions/roster.py
+++ b/mothnotch/decisions/roster.py
@@ -43,15 +43,13 @@
     return any(leaf.state == "up" for leaf in before) and not any(leaf.state != "removed" for leaf in after)
 
 
-def news(leaves, version, now_us, wall_s, kind=News.FULL):
-    """The list as the module gets it. Start times on the wall clock are moved to the caller's own clock; one that
-    lies in the future counts as now: the leaf is as cold as can be."""
-    entries = []
-    for leaf in leaves:
-        age_us = None if leaf.started is None else max(0, int((wall_s - leaf.started) * 1e6))
-        started = 0 if age_us is None or age_us >= now_us else now_us - age_us
-        entries.append(Entry(leaf.name, leaf.zone, leaf.cell, leaf.state, leaf.weight, started))
-    return ListNews(kind, version, tuple(entries))
+def news(leaves, version, now_us, starts, kind=News.FULL):
+    """The list as the module gets it. `starts` moves start times on the wall clock to the caller's own clock."""
+    entries = tuple(Entry(leaf.name, leaf.zone, leaf.cell, leaf.state, leaf.weight,
+                          starts.started_us(leaf.name, leaf.started, now_us)) for leaf in leaves)
+    if kind is not News.CACHED:              # what was held before the process began is no word of discovery's
+        starts.heard(now_us)
+    return ListNews(kind, version, entries)
 
 
 class Told:
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -19,7 +19,14 @@
 ANCILLARY = socket.CMSG_SPACE(STAMPED.size) if hasattr(socket, "CMSG_SPACE") else 0
 # Errors by which Linux says that a call may succeed a moment later; the connection itself is sound.
 FOR_A_MOMENT = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+# Errors of accept that concern the one connection that was to be accepted, not the next.
+CONNECTION_FAILED = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENOPROTOOPT,
+                               errno.EHOSTDOWN, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT))
+ACCEPT_AGAIN_S = 0.05            # pause after an accept that failed for want of descriptors or memory
 AGAIN_S = 0.005                  # pause before a call that failed for a moment is made again: it must not spin
+STEP_S = 0.002                   # the wall clock and the monotonic one that part by more between two passes show a step
+JITTER_S = 0.001                 # a stamp may lie so far ahead of the least delay learned
+DRIFT = 0.001                    # most that the wall clock is slewed against the monotonic one, of the time passed
 
 
 class AddressError(ValueError):
@@ -42,13 +49,74 @@
 
 
 class ArrivalClock(trio.abc.Instrument):
-    """Knows when sockets were last looked at."""
+    """Moves the kernel's time stamps, which are of the wall clock, to trio's monotonic clock.
+
+    What to add to a stamp is learned from the stamps themselves: data that is read as soon as it comes has the least delay
+    between stamp and read, so that the least one seen is the difference of the clocks. The wall clock may be stepped at any
+    time, and the stamps with it or not. Each pass of the scheduler therefore looks for a step, and from then on both
+    differences are tried: data read in a pass came no earlier than the pass before, or that one would have reported it, and
+    no later than now. If both fit, the earlier arrival counts, as no request may be believed to have more time than it has.
+    Error: none for a step that is larger than the time between two passes (a quarter of a second on an idle root); else at
+    most the step, once.
+    """
 
     def __init__(self):
-        self.last = trio.current_time()
+        self.before = self.last = trio.current_time()      # the last two passes
+        self.wall = time.time() - self.last
+        self.offsets, self.learned = [], self.last          # monotonic time less stamp; when that was last learned
 
     def after_io_wait(self, timeout):
-        self.last = trio.current_time()
+        now = trio.current_time()
+        wall = time.time() - now
+        step, self.wall = wall - self.wall, wall
+        if self.offsets and abs(step) > STEP_S:
+            self.offsets = [self.offsets[-1], self.offsets[-1] - step]
+        self.before, self.last = self.last, now
+
+    def arrival(self, stamp, now):
+        """When data with that stamp, read now, came: on trio's clock."""
+        delay = now - stamp
+        fitting = [offset for offset in self.offsets if self.before <= stamp + offset <= now + JITTER_S]
+        if not fitting:
+            overdue = bool(self.offsets) and delay > self.offsets[-1]
+            self.offsets, self.learned = [delay], now
+            return self.before if overdue else now          # left over from the pass before; or a step nobody saw
+        if len(fitting) == 1:
+            # The clocks drift apart slowly: what was least some time ago need not be now.
+            drifted = fitting[0] + DRIFT * (now - self.learned)
+            self.offsets, self.learned = [min(drifted, delay)], now
+        return min(now, stamp + min(fitting))
+
+
+class Listener(trio.abc.Listener):
+    """Accepts one connection after another on a listening socket of trio's. A failed accept is told at once, and never
+    repeated in a tight loop."""
+
+    def __init__(self, sock):
+        self.socket = sock
+
+    async def accept(self):
+        while True:
+            if self.socket.fileno() < 0:
+                raise trio.ClosedResourceError("listener was closed")
+            await trio.lowlevel.wait_readable(self.socket._sock)
+            stream = accept_now(self)
+            if stream is not None:
+                return stream
+
+    async def aclose(self):
+        self.socket.close()
+        await trio.lowlevel.checkpoint()
+
+
+def accept_now(listener):
+    """A connection that waits to be accepted, or None if none does; OSError if the accept failed."""
+    try:
+        sock, _ = listener.socket._sock.accept()
+    except BlockingIOError:
+        return None
+    sock.setblocking(False)
+    return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
 
 
 class Datagrams:
@@ -111,8 +179,9 @@
             sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             await sock.bind(rest[0])
             sock.listen(backlog)
-            return [trio.SocketListener(sock)]
-        return await trio.open_tcp_listeners(rest[1], host=rest[0], backlog=backlog)
+            return [Listener(sock)]
+        return [Listener(listener.socket)
+                for listener in await trio.open_tcp_listeners(rest[1], host=rest[0], backlog=backlog)]
 
     async def datagrams(self, address):
         """Datagrams at an address, host:port, over IPv4; port 0 picks one."""
@@ -159,11 +228,9 @@
             except (BlockingIOError, InterruptedError):
                 continue
             now = trio.current_time()
-            if ancillary and len(ancillary[0][2]) == STAMPED.size:
+            if self.arrivals is not None and ancillary and len(ancillary[0][2]) == STAMPED.size:
                 seconds, nanos = STAMPED.unpack(ancillary[0][2])
-                ago = time.time() - (seconds + nanos / 1e9)
-                if 0 < ago < 10:                       # else the wall clock was set
-                    return data, now - ago
+                return data, self.arrivals.arrival(seconds + nanos / 1e9, now)
             return data, now
 
     def receive_now(self, stream, most):
@@ -174,13 +241,8 @@
             return None
 
     def accept_now(self, listener):
-        """A connection that waits to be accepted, or None."""
-        try:
-            sock, _ = listener.socket._sock.accept()
-        except (OSError, ValueError):
-            return None
-        sock.setblocking(False)
-        return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+        """A connection that waits to be accepted, or None if none does; OSError if the accept failed."""
+        return accept_now(listener)
 
     def since_polled(self):
         """Seconds since sockets were last looked at for what has come."""
@@ -455,7 +517,7 @@
             except OSError as error:
                 if failed is not None:
                     failed(error)
-                await trio.sleep(0.05)
+                await trio.sleep(0 if error.errno in CONNECTION_FAILED else ACCEPT_AGAIN_S)
                 continue
             if most is not None and state["open"] >= most:
                 nursery.start_soon(turned_away, stream)
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -6,6 +6,7 @@
 from mothnotch.decisions import roster
 from mothnotch.decisions.interface import ListNews, News
 from mothnotch.decisions.polling import Renewal
+from mothnotch.decisions.starts import StartTimes
 from mothnotch.net import shut
 from mothnotch.node import listing
 from mothnotch.outgoing import GONE
@@ -25,6 +26,7 @@
     def __init__(self, network, address, core, calls, log, chance):
         self.network, self.address, self.core, self.calls, self.log = network, address, core, calls, log
         self.told, self.listed, self.renewal = roster.Told(), False, Renewal(chance, trio.current_time())
+        self.starts = StartTimes(now_us(), network.wall())
         self.standing, self.changed, self.whole = [], trio.Event(), False
 
     def start(self, known):
@@ -46,7 +48,7 @@
         self.listed, self.whole = True, False
         kind = kind or (News.FULL if found.all else News.CHANGES)
         # First in its turn: what is withdrawn by it must be decided anew with it.
-        self.core.news(roster.news(leaves, found.rev, now_us(), self.network.wall(), kind))
+        self.core.news(roster.news(leaves, found.rev, now_us(), self.starts, kind))
         self.calls.follow(leaves, kind is not News.CHANGES)
 
     def moved(self, address):
@@ -103,6 +105,7 @@
     def said(self, scope):
         """It spoke: it goes on alone."""
         self.renewal.heard(trio.current_time())
+        self.starts.heard(now_us())
         if self.standing != [scope]:
             self.alone(scope)
 
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -18,7 +18,7 @@
 from mothnotch.decisions import shares
 from mothnotch.decisions.invariants import Invariant
 from mothnotch.decisions.outcomes import Final
-from mothnotch.net import serve, shut
+from mothnotch.net import AGAIN_S, serve, shut
 from mothnotch.node import requests
 from mothnotch.node.closing import ClientClose
 from mothnotch.outgoing import GONE, Outgoing
@@ -375,13 +375,30 @@
                     elif self.unasked(client):
                         self.close(client, ClientClose.IDLE)
 
-    def stop(self, listeners):
+    async def stop(self, listeners):
         """No new connections but those that wait already, and none that is idle; what was taken is answered, each with
         its close."""
         self.accepting.cancel()
-        for listener in listeners:
-            while (stream := self.network.accept_now(listener)) is not None:
-                self.nursery.start_soon(self.connection, stream)
         for client in list(self.clients):
             if client.idle and client.served and not client.parting and self.unasked(client):
                 self.close(client, ClientClose.STOPPING)
+        for listener in listeners:
+            await self.take_backlog(listener)
+            await listener.aclose()
+
+    async def take_backlog(self, listener):
+        """Takes what waits to be accepted. An accept that fails is made again for as long as answers may still be
+        given: a request may have been written behind it."""
+        until = self.ends
+        while True:
+            try:
+                stream = self.network.accept_now(listener)
+            except OSError as error:
+                self.not_taken(error)
+                if trio.current_time() >= until:
+                    return
+                await trio.sleep(AGAIN_S)
+                continue
+            if stream is None:
+                return
+            self.nursery.start_soon(self.connection, stream)
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -12,6 +12,7 @@
 from mothnotch.root.core import Core
 from mothnotch.root.trace import Trace
 
+LOOK_S = 0.02                    # how often a root that stops looks whether anybody is left
 
 
 class NodeRoot:
@@ -69,12 +70,12 @@
         began = trio.current_time()
         self.front.stopping, self.front.ends = True, began + self.share.ending_s
         await trio.sleep_until(began + self.share.stopping_s)
-        self.front.stop(self.listeners)
-        for listener in self.listeners:
-            await listener.aclose()
+        await self.front.stop(self.listeners)
         with trio.move_on_at(self.front.ends + LAST_S):
+            # At least once: a connection that was accepted just now is not among the clients before its task has begun.
+            await trio.sleep(LOOK_S)
             while self.front.clients:
-                await trio.sleep(0.02)
+                await trio.sleep(LOOK_S)
         self.nursery.cancel_scope.cancel()
 
     async def signals(self, received):
--- a/mothnotch/root/roster.py
+++ b/mothnotch/root/roster.py
@@ -8,6 +8,7 @@
 
 from mothnotch.config import ConfigError, load_roster
 from mothnotch.decisions import roster
+from mothnotch.decisions.starts import StartTimes
 from mothnotch.root.core import now_us
 
 WATCH_S = 0.1                    # how often the roster is looked at
@@ -52,6 +53,7 @@
         self.source, self.cells, self.core, self.leaves = source, cells, core, leaves
         self.network, self.log = network, log
         self.version, self.present = 0, []
+        self.starts = StartTimes(now_us(), network.wall())
 
     def look(self):
         """Reads the roster once; true if it was taken."""
@@ -74,7 +76,7 @@
         # A leaf removed keeps its pool until its calls are through; a name without an address gets no new ones.
         self.leaves.follow({leaf.name: leaf.address for leaf in found if leaf.state != "removed"},
                            {leaf.name for leaf in found if leaf.state != "up"})
-        self.core.news(roster.news(found, self.version, now_us(), self.network.wall()))
+        self.core.news(roster.news(found, self.version, now_us(), self.starts))
         self.log.info("roster", version=self.version, up=sum(x.state == "up" for x in found), leaves=len(found))
         return True
 
