--- a/mothnotch/decisions/shares.py
+++ b/mothnotch/decisions/shares.py
@@ -11,6 +11,7 @@
 LAST_S = 0.3                      # what has to be answered before the end is, so long before it: a root may be held up
                                   # for 0.15 s when the word to stop comes, and again when it answers
 LISTEN_AGAIN_S, LISTEN_MOST_S = 0.05, 10.0   # an address still in use at a start is asked for again: pauses, for how long
+BEHIND_S = 0.25                   # an answer may come so long after its client's time, where it waited behind another's
 STALLED_S = 0.05                  # a pass of the scheduler that took so long: what came meanwhile lies unread
 
 
@@ -43,3 +44,10 @@
     between requests, the longest idle first, then those that have asked nothing yet. `idle`: [(last answer is out,
     served, since, connection)]. Enough of them go to come within the share."""
     return [x[3] for x in sorted(idle, key=lambda x: (not x[0], not x[1], x[2]))] if open_now > most else []
+
+
+def latest_before(at, timeouts_ms):
+    """When the open request of a connection has to be answered at the latest, given those that came behind it at that time
+    and what time they state; None if none came. Answers leave in the order of requests: without it, one that has little time
+    would be answered long after it, behind one that has much. Harm: the first one is given up earlier than its client asked."""
+    return at + min(timeouts_ms) / 1000 + BEHIND_S if timeouts_ms else None
--- a/mothnotch/net.py
+++ b/mothnotch/net.py
@@ -26,6 +26,7 @@
 AGAIN_S = 0.005                  # pause before a call that failed for a moment is made again: it must not spin
 STEP_S = 0.002                   # the wall clock and the monotonic one that part by more between two passes show a step
 JITTER_S = 0.001                 # a stamp may lie so far ahead of the least delay learned
+PROMPT_S = 0.02                  # data read so soon after the last of it came was waited for
 OLDEST_S = 10.0                  # data that would have come so long ago was not dated by this clock
 DRIFT = 0.001                    # most that the wall clock is slewed against the monotonic one, of the time passed
 
@@ -55,15 +56,17 @@
     What to add to a stamp is learned from the stamps themselves: data that is read as soon as it comes has the least delay
     between stamp and read, so that the least one seen is the difference of the clocks. The wall clock may be stepped at any
     time, and the stamps with it or not. Each pass of the scheduler therefore looks for a step, and from then on both
-    differences are tried until one alone fits: no data comes later than it is read, and most of it no earlier than the pass
-    before, which would have reported it (not so on a new connection, or where a read left something over). If both fit, the
-    earlier arrival counts, as no request may be believed to have more time than it has.
+    differences are tried until one alone fits: no data comes later than it is read, and most of it no earlier than two passes
+    before, as one would have reported it (two: a wait that a signal interrupts may end without a look; and not so on a new
+    connection, or where a read left something over). The one that
+    misses this span by least is taken; if both fit, the earlier arrival counts, as no request may be believed to have more
+    time than it has.
     Error: none for a step that is larger than the time between two passes (a quarter of a second on an idle root); else at
     most the step, once.
     """
 
     def __init__(self):
-        self.before = self.last = trio.current_time()      # the last two passes
+        self.before = self.between = self.last = trio.current_time()       # the last three passes
         self.wall = time.time() - self.last
         self.offsets, self.learned = [], self.last          # monotonic time less stamp; when that was last learned
 
@@ -73,19 +76,24 @@
         step, self.wall = wall - self.wall, wall
         if self.offsets and abs(step) > STEP_S:
             self.offsets = [self.offsets[-1], self.offsets[-1] - step]
-        self.before, self.last = self.last, now
+        self.before, self.between, self.last = self.between, self.last, now
 
     def arrival(self, stamp, now):
         """When data with that stamp, read now, came: on trio's clock."""
-        possible = [offset for offset in self.offsets if stamp + offset <= now + JITTER_S]
-        if not possible:
+        if not self.offsets:
             return self.learn(now - stamp, now)
-        fitting = [offset for offset in possible if stamp + offset >= self.before]
-        if len(fitting) == 1:
+
+        def miss(offset):
+            return max(0.0, self.before - stamp - offset, stamp + offset - now - JITTER_S)
+
+        best = min(self.offsets, key=lambda offset: (miss(offset), offset))
+        at = stamp + best
+        if at > now or now - at >= OLDEST_S:
+            return self.learn(now - stamp, now)
+        if not miss(best) and all(miss(offset) for offset in self.offsets if offset is not best):
             # The clocks drift apart slowly: what was least some time ago need not be now.
-            self.learn(min(fitting[0] + DRIFT * (now - self.learned), now - stamp), now)
-        at = stamp + (min(fitting) if fitting else max(possible))
-        return min(now, at) if now - at < OLDEST_S else self.learn(now - stamp, now)
+            self.learn(min(best + DRIFT * (now - self.learned), now - stamp), now)
+        return at
 
     def learn(self, offset, now):
         """Takes a difference of the clocks for the one that holds; gives now."""
@@ -257,9 +265,17 @@
         """A connection that waits to be accepted, or None if none does; OSError if the accept failed."""
         return accept_now(listener)
 
-    def since_polled(self):
-        """Seconds since sockets were last looked at for what has come."""
-        return trio.current_time() - self.arrivals.last if self.arrivals is not None else 0.0
+    def unseen_s(self):
+        """For how many seconds something may have lain unread: since sockets were last looked at, or between the last
+        looks, as what they showed need not be read yet."""
+        clock = self.arrivals
+        return 0.0 if clock is None else max(trio.current_time() - clock.last, clock.last - clock.before)
+
+    def earliest(self, at):
+        """When the first of some data came at the earliest, of which the last came then: the kernel tells of the last only.
+        Data that was read at once came at once; else all of it may lie there since the pass before."""
+        clock = self.arrivals
+        return at if clock is None or trio.current_time() - at < PROMPT_S else min(at, clock.before)
 
     def has_left(self, stream):
         """Whether the peer has ended or reset the connection and nothing of it lies unread: seen without waiting."""
@@ -488,9 +504,12 @@
     def receive_now(self, stream, most):
         return stream.receive_now(most)
 
-    def since_polled(self):
+    def unseen_s(self):
         return 0.0
 
+    def earliest(self, at):
+        return at
+
     def has_left(self, stream):
         return stream.closed or not stream.buffer and (stream.ended or stream.peer.closed)
 
--- a/mothnotch/node/__main__.py
+++ b/mothnotch/node/__main__.py
@@ -24,6 +24,9 @@
 
 
 async def serve(config, path, log):
+    if signal.SIGTERM in EARLY:
+        log.info("stopping", signal=signal.SIGTERM)      # it listens to nobody yet
+        return
     with trio.open_signal_receiver(signal.SIGHUP, signal.SIGTERM, signal.SIGINT) as received:
         async with trio.open_nursery() as nursery:
             root = NodeRoot(config, SocketNetwork(), log, path)
--- a/mothnotch/node/calls.py
+++ b/mothnotch/node/calls.py
@@ -244,7 +244,7 @@
 
     def left(self, attempt):
         """Whether the client of an attempt has left, where that may lie unread: after a stall of the root's."""
-        return links.may_have_left(self.network.since_polled()) and attempt.part.query.has_left()
+        return links.may_have_left(self.network.unseen_s()) and attempt.part.query.has_left()
 
     def check_copy(self, link, attempt):
         """An attempt went out: an earlier one of its part must not still be out at a leaf that cannot read that it is
--- a/mothnotch/node/front.py
+++ b/mothnotch/node/front.py
@@ -10,6 +10,7 @@
 meanwhile: `unasked`), or at once. A client's end of sending counts as its leaving.
 """
 import math
+import re
 from collections import deque
 
 import h11
@@ -29,6 +30,7 @@
 AWAY = 1 << 18                   # bytes thrown away at once, and in all after a last answer
 SWEEP_S = 0.25
 JSON, TEXT = "application/json", "text/plain"
+TIMEOUTS = re.compile(rb"(?i)\nx-timeout-ms:[ \t]*([0-9]{1,9})")
 
 
 class Client(Outgoing):
@@ -39,7 +41,7 @@
         self.front, self.http = front, h11.Connection(h11.SERVER)
         self.query, self.name, self.head, self.body, self.method = None, None, None, bytearray(), None
         self.since = trio.current_time()      # of connecting, of the first byte of a request, of the last answer
-        self.arrived = deque()                # (bytes read so far, when the last of them came), of what is not used up
+        self.arrived = deque()                # (bytes read so far, when the last of a read came, when its first did)
         self.read, self.at = 0, self.since    # bytes handed to h11; when the last byte of the request at hand came
         self.partial, self.closing, self.ahead, self.served = False, False, 0, False
         self.cut = False                      # bytes were thrown away: nothing that comes is read any more
@@ -79,6 +81,7 @@
             if self.ahead > AHEAD:
                 self.cut = True                # what is kept is answered; what follows gets an error
                 return
+            self.front.hurry(self, data, at)
         elif not self.partial:
             self.partial, self.since = True, at
         self.keep(data, at)
@@ -89,7 +92,7 @@
         if not self.http.trailing_data[0]:
             self.arrived.clear()               # all that came before is used up
         self.read += len(data)
-        self.arrived.append((self.read, at))
+        self.arrived.append((self.read, at, self.front.network.earliest(at)))
         self.http.receive_data(data)
 
     def more_read(self):
@@ -151,10 +154,12 @@
         """A whole request is in."""
         head, body, self.head, self.body = self.head, self.body, None, bytearray()
         self.partial, self.ahead = False, len(self.http.trailing_data[0])      # what came with it counts for the next
-        while self.arrived and self.arrived[0][0] < self.read - self.ahead:
+        end = self.read - self.ahead
+        while self.arrived and self.arrived[0][0] < end:
             self.arrived.popleft()
-        if self.arrived:                       # the data that held its last byte
-            self.at = self.arrived[0][1]
+        if self.arrived:                       # the read that held its last byte: as its last one, or before others
+            upto, last, first = self.arrived[0]
+            self.at = last if upto == end else first
         path, _, query = head.target.decode("latin-1").partition("?")
         if path == "/api" and head.method == b"POST":
             self.front.ask(self, query, head.headers, bytes(body))
@@ -365,10 +370,18 @@
             return
         client.name = name
         self.names.add(name)
+        self.hurry(client, client.http.trailing_data[0], client.at)
         if self.core.trace.on:
             self.core.trace.note("request", request=name, query=client.query.id, client=id(client),
                                  arrived_us=int(client.at * 1e6), deadline_us=request.deadline_us)
 
+    def hurry(self, client, data, at):
+        """Requests that come behind an open one wait for its answer: it may not take longer than the first of them has."""
+        if client.query is not None:
+            latest = shares.latest_before(at, [int(ms) for ms in TIMEOUTS.findall(data)])
+            if latest is not None:
+                self.core.hurry(client.query, int(latest * 1e6))
+
     def finish(self, client, query, outcome):
         """Sends the final answer of a client's open query, then reads on."""
         if outcome.final is Final.ANSWERED:
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -180,7 +180,7 @@
                    i.Disconnect: self.on_disconnect, i.Subscribe: self.on_subscribe, i.Log: self.on_log}
         self.subscribe = trio.Event()              # set when the module asks for the list again
         self.counts = {"queries": 0, "answered": 0, "refused": 0, "failed": 0, "gone": 0, "sends": 0, "turns": 0,
-                       "in_part": 0, "faults": 0, "overdue": 0, "no_room": 0, "full": 0, "broken": 0}
+                       "in_part": 0, "faults": 0, "overdue": 0, "hurried": 0, "no_room": 0, "full": 0, "broken": 0}
         self.busy_s = 0.0                          # CPU seconds of the module alone, where `clock` is given
         self.clock = None
         self.reasons = {}                          # of what was refused or given up, as the module says: how many
@@ -221,6 +221,12 @@
             heapq.heappush(self.ends, (request.deadline_us, number, query))
         return query
 
+    def hurry(self, query, at_us):
+        """The query has to be over by then, as others wait for its answer."""
+        if query.outcome is None and at_us < query.request.deadline_us:
+            heapq.heappush(self.ends, (at_us, next(self.numbers), query))
+            self.woken.set()
+
     def gone(self, query):
         """The client of an open query has left; nobody is told its outcome."""
         if query.outcome is None:
@@ -330,8 +336,12 @@
         while self.ends and (self.ends[0][0] <= now or self.ends[0][2].outcome is not None):
             _, _, query = heapq.heappop(self.ends)
             if query.outcome is None:
-                self.counts["overdue"] += 1
-                self.log.error("no final answer in the client's time", query=query.id, class_name=query.request.class_name)
+                if query.request.deadline_us > now:
+                    self.counts["hurried"] += 1
+                else:
+                    self.counts["overdue"] += 1
+                    self.log.error("no final answer in the client's time", query=query.id,
+                                   class_name=query.request.class_name)
                 self.leave(query, self.undecided(query))
 
     @staticmethod
@@ -400,7 +410,7 @@
         """(queries taken, final answers given, ids of what is open: 20 at most). A root that ends with the first two
         unlike owes somebody an answer."""
         c = self.counts
-        ends = sum(c[name] for name in ("answered", "refused", "failed", "gone", "overdue", "faults", "broken"))
+        ends = sum(c[name] for name in ("answered", "refused", "failed", "gone", "overdue", "hurried", "faults", "broken"))
         return c["queries"], ends, list(itertools.islice(self.queries, 20))
 
     # ---- actions ----
