--- a/tests/support/root_process.py
+++ b/tests/support/root_process.py
@@ -139,11 +139,20 @@
 
 async def wait_until_ready(root):
     """Wait until the root's readiness endpoint returns 200."""
+    await _wait_for_ok(root, b"/-/ready")
+
+
+async def wait_until_served(root):
+    """Wait until the root answers on its address, whether or not it is ready."""
+    await _wait_for_ok(root, b"/-/healthy")
+
+
+async def _wait_for_ok(root, path):
     while True:
         assert root.is_running(), f"the root exited with status {root.process.returncode}"
         try:
             client = root.client()
-            client.send_bytes(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            client.send_bytes(b"GET %b HTTP/1.1\r\nHost: a\r\n\r\n" % path)
             got = await client.read_answer()
             client.disconnect()
             if got is not None and got[0] == 200:
