Log each endpoint list applied, each watch opened and the first message from discovery

Lines: 'endpoint list applied' (kind, version, up, not_up), 'discovery watch opened' (version), 'first message from discovery' (after_s), and a warning where the configured list is used because the agent sent none in time. The trace has 'endpoint list'.

--- a/mothnotch/decisions/watch_policy.py
+++ b/mothnotch/decisions/watch_policy.py
@@ -46,6 +46,8 @@
         """Start without a watch, the first being due; `random()` returns numbers from 0 to 1."""
         self.random = random
         self.started_s = now_s
+        # When the root becomes ready without a message.
+        self.ready_at_s = now_s + READY_TIMEOUT_S
         # When the next watch is due.
         self.next_open_s = now_s
         self.open_count = 0
@@ -91,7 +93,7 @@
         start. Cost: while discovery is down, a starting root serves no queries for
         `READY_TIMEOUT_S`.
         """
-        return self.has_received or now_s - self.started_s >= READY_TIMEOUT_S
+        return self.has_received or now_s >= self.ready_at_s
 
     def _reset_backoff(self):
         self.reopen_delay_s = REOPEN_DELAY_S
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -18,6 +18,8 @@
 MAX_LIST_BYTES = 8 << 20
 # Maximum size of one read.
 READ_BYTES = 1 << 16
+# Maximum number of leaf names in one log line.
+MAX_LOGGED_LEAVES = 20
 # Errors that the agent or the network causes; any other error of a watch is a defect of the root.
 WATCH_ERRORS = (
     *CONNECTION_LOST_ERRORS,
@@ -85,6 +87,20 @@
             endpoint_list.watch_event(leaves, update.version, now_us(), self.starts, kind)
         )
         self.pool.update_leaves(leaves, kind is not WatchEventKind.DELTA)
+        self._log_applied(kind, leaves)
+
+    def _log_applied(self, kind, leaves):
+        not_up = [leaf.name for leaf in leaves if leaf.state != "up"]
+        self.log.info(
+            "endpoint list applied",
+            address=self.address,
+            kind=kind.name,
+            version=self.endpoints.version,
+            entries=len(leaves),
+            up=len(self.endpoints.up),
+            not_up=not_up[:MAX_LOGGED_LEAVES],
+        )
+        self.core.trace.record("endpoint list", version=self.endpoints.version, applied=kind.name)
 
     def change_address(self, address: str):
         """Watch another agent, at once, starting from the version that is held."""
@@ -97,6 +113,7 @@
     async def run(self):
         """Keep a watch open until cancelled."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._log_timeout)
             while True:
                 self.schedule_changed = trio.Event()
                 with trio.move_on_at(self.policy.next_open_s):
@@ -110,6 +127,16 @@
                         self.open_scopes.pop(0).cancel()
                     nursery.start_soon(self._run_watch, scope)
 
+    async def _log_timeout(self):
+        """Log if the root becomes ready without a message from its agent."""
+        await trio.sleep_until(self.policy.ready_at_s)
+        if not self.policy.has_received:
+            self.log.warning(
+                "agent sent no list in time; the configured list is used",
+                address=self.address,
+                version=self.endpoints.version,
+            )
+
     # ---- one watch ----
 
     async def _run_watch(self, scope):
@@ -136,6 +163,9 @@
             http = h11.Connection(h11.CLIENT)
             reader = listing.ListingReader(MAX_LIST_BYTES)
             await stream.send_all(self._request(http))
+            self.log.info(
+                "discovery watch opened", address=self.address, version=self._held_version()
+            )
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
@@ -156,15 +186,27 @@
     def _request(self, http):
         """Return the request for a watch: from the held version on, unless a snapshot is needed."""
         target = "/api/targets?stream=1"
-        if self.has_list and not self.needs_snapshot:
-            target += f"&index={self.endpoints.version}"
+        version = self._held_version()
+        if version is not None:
+            target += f"&index={version}"
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         return http.send(request) + http.send(h11.EndOfMessage())
 
+    def _held_version(self):
+        """Return the version from which on changes are requested; None: a snapshot is needed."""
+        return self.endpoints.version if self.has_list and not self.needs_snapshot else None
+
     def _on_update(self, scope, update):
         """Process a list, or a heartbeat (None), and cancel all other watches."""
         if update is not None:
             self.publish(update)
+        if not self.policy.has_received:
+            self.log.info(
+                "first message from discovery",
+                address=self.address,
+                version=self.endpoints.version,
+                after_s=round(trio.current_time() - self.policy.started_s, 3),
+            )
         self.policy.on_message(trio.current_time())
         self.starts.record_message(now_us())
         if self.open_scopes != [scope]:
