A root rejects queries until it has its agent's list or 8 s have passed

A leaf that began to drain while the roots were down was still ready in their configured list; clients that had not noticed the restart sent queries as soon as the roots listened, 0.02 to 0.1 s before the first message of the agent. /-/ready answered 503 in that time, but queries were accepted.

RequestHandler now asks what /-/ready asks (WatchPolicy.is_ready) and answers 503 with a time to come back, so no query can reach the balancer before the list that counts as known has. That holds whatever delays the first message; after 8 s without one the configured list is used, as before.

--- a/mothnotch/decisions/watch_policy.py
+++ b/mothnotch/decisions/watch_policy.py
@@ -22,6 +22,8 @@
 MAX_OPEN_WATCHES = 3
 # Time after which a root that received no list becomes ready with its configured list.
 READY_TIMEOUT_S = 8.0
+# Time after which a client that a root rejects, as it is not ready, may try it again.
+NOT_READY_RETRY_AFTER_US = 200_000
 # Delay before an invalid configuration is read again, as it may have been read while being written.
 RELOAD_RETRY_S = 0.1
 # Time after which reloading an invalid configuration gives up.
@@ -87,11 +89,12 @@
         self._reset_backoff()
 
     def is_ready(self, now_s: float) -> bool:
-        """Return whether the root may report that it is ready.
+        """Return whether the root may report that it is ready, and accept queries.
 
         It needs the agent's list, as the platform counts that list as known to the root from its
-        start. Cost: while discovery is down, a starting root serves no queries for
-        `READY_TIMEOUT_S`.
+        start; the configured list may name leaves that have drained since. Clients may send queries
+        before: those of the previous process are not told of its end. Cost: while discovery is
+        down, a starting root serves no queries for `READY_TIMEOUT_S`.
         """
         return self.has_received or now_s >= self.ready_at_s
 
--- a/mothnotch/node/frontend_context.py
+++ b/mothnotch/node/frontend_context.py
@@ -8,14 +8,14 @@
 
 
 def _counts():
-    return {"connections": 0, "requests": 0, "bad": 0, "shed": 0, "slow": 0}
+    return {"connections": 0, "requests": 0, "bad": 0, "not_ready": 0, "shed": 0, "slow": 0}
 
 
 @dataclass(slots=True, eq=False)
 class FrontendContext:
     """Shared by a frontend, its connections and its request handler.
 
-    `shard_count`: shards of the table. `is_ready()`: whether the root may receive requests.
+    `shard_count`: shards of the table. `is_ready()`: whether the root may accept queries.
     `stopping`: a graceful shutdown has begun, and all requests must be answered by `answer_by_s`.
     """
 
--- a/mothnotch/node/request_handler.py
+++ b/mothnotch/node/request_handler.py
@@ -5,6 +5,7 @@
 from mothnotch.decisions import resource_limits
 from mothnotch.decisions.invariants import Invariant
 from mothnotch.decisions.outcomes import FinalStatus
+from mothnotch.decisions.watch_policy import NOT_READY_RETRY_AFTER_US
 from mothnotch.node import requests
 from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.frontend_context import FrontendContext
@@ -37,6 +38,9 @@
         if request_id in self.open_request_ids:
             raise requests.BadRequestError(409, "X-Request-ID: that request is open")
         self.context.counts["requests"] += 1
+        if not self.context.is_ready():
+            self._reject_not_ready(client)
+            return
 
         def on_finished(outcome):
             self._on_outcome(client, request_id, outcome)
@@ -56,6 +60,18 @@
         if core.trace.enabled:
             self._trace_request(client, request)
 
+    def _reject_not_ready(self, client):
+        """Reject a request that a root receives before it is ready."""
+        self.context.counts["not_ready"] += 1
+        limits = self.context.core.settings.limits
+        client.answer(
+            503,
+            b'{"error":"not ready; asking again is harmless"}',
+            retry_after_us=min(NOT_READY_RETRY_AFTER_US, limits.max_retry_after_us)
+            if limits.retry_after
+            else 0,
+        )
+
     def shorten_deadline(self, client: ClientConnection, data: bytes, at_s: float):
         """Shorten the deadline of an open request if requests in `data`, received at `at_s`, are
         queued behind it: the shortest of their timeouts bounds the wait for its answer.
--- a/tests/support/platform_environment.py
+++ b/tests/support/platform_environment.py
@@ -82,8 +82,14 @@
         self.discovery.publish(False, self.target(leaf, state))
 
 
-def run_on_virtual_clock(test, sockets=256, work_s=0.05, silent=False, **changes):
-    """Run `await test(env)` with a root and one leaf per cell; waiting takes no real time."""
+def run_on_virtual_clock(
+    test, sockets=256, work_s=0.05, silent=False, wait_until_ready=True, **changes
+):
+    """Run `await test(env)` with a root and one leaf per cell; waiting takes no real time.
+
+    `silent`: discovery does not answer the root's watch. `wait_until_ready`: the test begins once
+    the root accepts queries, as clients are sent to it from then on.
+    """
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(1)
     env = Environment()
@@ -107,6 +113,8 @@
             assert isinstance(root_config.initial_listing, listing.Listing)
             env.root = NodeRoot(root_config, env.network, env.log)
             await nursery.start(env.root.run)
+            while wait_until_ready and not env.root.watch.is_ready():
+                await trio.sleep(0.001)
             with trio.fail_after(600):
                 await test(env)
             nursery.cancel_scope.cancel()
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -193,7 +193,7 @@
         await trio.sleep(6.1)
         assert not env.root.core.balancer.servers["s0"].up and len(env.root.watch.open_scopes) == 1
 
-    run_on_virtual_clock(test)
+    run_on_virtual_clock(test, silent=True, wait_until_ready=False)
 
 
 def test_address_change_takes_effect_at_once_even_between_two_watches(tmp_path):
@@ -269,8 +269,8 @@
         assert await ready_status(env) == 200
         assert (await (await env.client()).ask("r1", "read", (0, 1)))[0] == 200
 
-    run_on_virtual_clock(test)
-    run_on_virtual_clock(without_agent, silent=True)
+    run_on_virtual_clock(test, wait_until_ready=False)
+    run_on_virtual_clock(without_agent, silent=True, wait_until_ready=False)
 
 
 def test_reload_changes_the_discovery_address_only(tmp_path):
