Soak: a drain counts as known once the agent has it, also to a root that is starting

Any SIGSTOP between the drain and the send excused it, too.

Now a change is known from the moment at which the agent has it, or from the start of the process (the platform's rule); a span in which the root cannot learn it (silent watch, new agent, its own failing calls, discovery down, SIGSTOP) is subtracted only as far as a record shows it.

--- a/mothnotch/soak/agent.py
+++ b/mothnotch/soak/agent.py
@@ -8,6 +8,7 @@
   all; watches opened later are served.
 - {"do": "drop"}: reset the open watches.
 - {"do": "down", "s": seconds}: neither answer new watches nor send anything for that long.
+- {"do": "slow", "root": n, "s": seconds}: answer the next watch of one root only after that long.
 
 It records which change was sent to which root.
 """
@@ -39,6 +40,7 @@
         self.targets, self.rev = {target["uid"]: target for target in options["targets"]}, 40
         self.ports, self.watches, self.changes = options["ports"], set(), []
         self.unavailable_until, self.numbers = 0.0, itertools.count()
+        self.answer_delays_s = {}  # root -> delay of the answer to its next watch
 
     async def run(self):
         async with trio.open_nursery() as nursery:
@@ -73,6 +75,8 @@
                 )
         elif command["do"] == "down":
             self.unavailable_until = now() + command["s"]
+        elif command["do"] == "slow":
+            self.answer_delays_s[command["root"]] = command["s"]
         for watch in list(self.watches):
             if command["do"] == "drop":
                 await reset_connection(watch.stream)
@@ -90,11 +94,13 @@
                 if not data:
                     return
                 head += data
+            await trio.sleep(self.answer_delays_s.pop(root, 0.0))
             while now() < self.unavailable_until:
                 await trio.sleep(0.05)
             target = head.split(b" ")[1].decode()
             await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.watches.add(watch)
+            self.event_log.write("watch served", root=root)
             requested_rev = int(target.partition("index=")[2] or 0)
             if requested_rev and requested_rev >= self.rev - len(self.changes):
                 sent_rev = requested_rev
--- a/mothnotch/soak/history.py
+++ b/mothnotch/soak/history.py
@@ -131,17 +131,29 @@
         changes = [e for e in self.by_kind["change"] if e["leaf"] == leaf and e["t"] <= at]
         return changes[-1]["state"] if changes else "Ready"
 
-    def is_starting(self, root, at):
-        """Return whether a root has started but is not ready yet. The load balancer in front of it
-        sends it no requests until then.
-        """
-        state_events = [
-            e
-            for e in self.by_kind["root started"] + self.by_kind["serving"]
-            if e["root"] == root and e["t"] <= at
+    def drained_since(self, leaf, at):
+        """Return since when discovery has had a leaf as draining or gone; None if it is ready."""
+        changes = [e for e in self.by_kind["change"] if e["leaf"] == leaf and e["t"] <= at]
+        since = None
+        for change in changes:
+            if change["state"] == "Ready":
+                since = None
+            elif since is None:
+                since = change["t"]
+        return since
+
+    def discovery_outages(self):
+        """Return the spans in which discovery told nobody anything, ordered by their begin."""
+        return [
+            (e["t"], e["t"] + e["s"])
+            for e in self.by_kind["told to"]
+            if e["who"] == "discovery" and e["do"] == "down"
         ]
-        last = max(state_events, key=lambda e: e["t"], default=None)
-        return last is not None and last["kind"] == "root started"
+
+    def process_start(self, root, at):
+        """Return when the process that a root runs in at a time was started."""
+        starts = [e["t"] for e in self.by_kind["root started"] if e["root"] == root]
+        return max((t for t in starts if t <= at), default=-math.inf)
 
     def had_leaf_fault(self, leaf, begin, end):
         """Return whether a fault at a leaf or on its route may delay messages within a span."""
--- a/mothnotch/soak/judge.py
+++ b/mothnotch/soak/judge.py
@@ -9,12 +9,12 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from mothnotch.soak.drain_checks import check_drains, check_overdue_drains
 from mothnotch.soak.history import CLOCK_SLACK_S, History
 
 ANSWER_SLACK_S = 0.5  # an answer counts as late this long after the client's timeout
 DISCONNECT_SLACK_S = 0.1  # an attempt may still begin for this long after its client left
 TIME_BUDGET_SLACK_MS = 150
-DISCOVERY_DELAY_MAX_S = 6.0  # longest time until a root knows a change while discovery works
 INCOMPLETE_REQUEST_TIMEOUT_S = 3.0  # an incomplete request gets an error or a close by then
 RESULTS_WITHOUT_EXECUTION = ("rejected", "unreachable", "unsent")
 DEFECT_LOG_EVENTS = (
@@ -48,6 +48,7 @@
         check_sends_after_disconnect,
         check_time_budgets,
         check_drains,
+        check_overdue_drains,
         check_repeats,
         check_second_copies,
         check_attempt_limit,
@@ -141,77 +142,6 @@
             )
 
 
-def check_drains(history, verdict):
-    """After the grace period, a leaf that drains or is removed gets no new parts."""
-    drain_spans = defaultdict(list)  # (root, leaf) -> [(begin, end)]
-    drained_since = {}
-    for event in history.by_kind["told"]:
-        for leaf in range(history.deployment.leaves):
-            name = f"s{leaf}"
-            state = event["states"].get(name, "Gone" if event["whole"] else None)
-            if state == "Ready" and (event["root"], name) in drained_since:
-                drain_spans[event["root"], name].append(
-                    (drained_since.pop((event["root"], name)), event["t"])
-                )
-            elif state in ("Terminating", "Gone"):
-                drained_since.setdefault((event["root"], name), event["t"])
-    for key, begin in drained_since.items():
-        drain_spans[key].append((begin, math.inf))
-    grace = history.deployment.drain_grace_s + CLOCK_SLACK_S
-    for event, _ in iter_sends(history):
-        for begin, end in drain_spans[event["root"], event["leaf"]]:
-            if not begin + grace < event["t"] < end or history.suspended_s(
-                event["root"], begin, event["t"]
-            ):
-                continue
-            if history.is_starting(event["root"], event["t"]):
-                verdict.excused["a root that is not ready yet"] += 1
-            elif history.discovery_state(event["leaf"], event["t"]) == "Ready":
-                verdict.excused["a leaf that is ready again, not told yet"] += 1
-            else:
-                verdict.add_violation(
-                    "drain",
-                    wire_id=event["wire_id"],
-                    leaf=event["leaf"],
-                    after_s=event["t"] - begin,
-                )
-    check_overdue_drains(history, verdict, grace)
-
-
-def check_overdue_drains(history, verdict, grace):
-    """As check_drains, from the latest time by which discovery has to tell the root."""
-    state_changes = defaultdict(list)
-    for event in history.by_kind["change"]:
-        state_changes[event["leaf"]].append((event["t"], event["state"]))
-    outages = [
-        (e["t"], e["t"] + e["s"])
-        for e in history.by_kind["told to"]
-        if e["who"] == "discovery" and e["do"] == "down"
-    ]
-    for event, _ in iter_sends(history):
-        changes = [change for change in state_changes[event["leaf"]] if change[0] <= event["t"]]
-        if (
-            not changes
-            or changes[-1][1] == "Ready"
-            or history.is_starting(event["root"], event["t"])
-        ):
-            continue
-        drained_since = changes[-1][0]
-        reachable_since = max(
-            [drained_since]
-            + [end for begin, end in outages if begin < event["t"] and end > drained_since]
-        )
-        if event["t"] > reachable_since + DISCOVERY_DELAY_MAX_S + grace and not history.suspended_s(
-            event["root"], drained_since, event["t"]
-        ):
-            verdict.add_violation(
-                "drain, told at the latest",
-                wire_id=event["wire_id"],
-                leaf=event["leaf"],
-                after_s=event["t"] - reachable_since,
-            )
-
-
 def sends_by_wire_id(history):
     """Return wire id -> [(send, end of the attempt or None)], in the order of the sends."""
     end_by_attempt = {
--- a/mothnotch/soak/plan.py
+++ b/mothnotch/soak/plan.py
@@ -54,6 +54,26 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def draw_drains_during_restarts(random, deployment, length_s):
+    """Return faults in which a leaf begins to drain while a root that was killed is down.
+
+    Drawn by a generator of their own, so that the faults of earlier seeds stay as they are.
+    """
+    at_s = random.uniform(WARM_UP_S, length_s - COOL_DOWN_S)
+    return [
+        Fault(
+            at_s,
+            "drain during restart",
+            draw_root(random, deployment),
+            {
+                "leaf": draw_leaf(random, deployment),
+                "s": random.uniform(1.5, 3.0),
+                "answer_after_s": random.choice((0.0, 0.1, 0.3, 0.8)),
+            },
+        )
+    ]
+
+
 def draw_root(random, deployment):
     return random.randrange(deployment.roots)
 
--- a/mothnotch/soak/run.py
+++ b/mothnotch/soak/run.py
@@ -42,7 +42,13 @@
         self.seed, self.folder, self.length_s = seed, pathlib.Path(folder), length_s
         self.random = random.Random(seed)
         self.deployment = settings.draw_deployment(self.random)
-        self.faults = plan.draw_faults(self.random, self.deployment, length_s, faults)
+        self.faults = sorted(
+            plan.draw_faults(self.random, self.deployment, length_s, faults)
+            + plan.draw_drains_during_restarts(
+                random.Random(f"drains during restarts {seed}"), self.deployment, length_s
+            ),
+            key=lambda fault: fault.at_s,
+        )
         self.event_log = records.EventLog(folder, "soak")
         deployment = self.deployment
         port_numbers = iter(free_ports(deployment.roots * 3 + deployment.leaves * 2))
@@ -281,6 +287,9 @@
             "short io": lambda: self.short_io(fault.target, **fault.parameters),
             "restart leaf": lambda: self.restart_leaf(fault.target, **fault.parameters),
             "drain leaf": lambda: self.drain_leaf(fault.target, **fault.parameters),
+            "drain during restart": lambda: self.drain_during_restart(
+                fault.target, **fault.parameters
+            ),
         }
         if fault.kind in handlers:
             await handlers[fault.kind]()
@@ -323,7 +332,7 @@
             if name == "TERM" and kill_at_s == math.inf:
                 self.event_log.write("stopping", root=number)
                 kill_at_s = trio.current_time() + kill_after_s
-            root.process.send_signal(getattr(signal, f"SIG{name}"))
+            self.send_signal(root, name)
             await trio.sleep(gap_s)
         with trio.move_on_at(kill_at_s):
             while root.process.poll() is None:
@@ -356,11 +365,17 @@
         for name in series:
             self.agent_index[number] = 1 - self.agent_index[number]
             self.write_config(number)
-            root.process.send_signal(getattr(signal, f"SIG{name}"))
+            self.send_signal(root, name)
             await trio.sleep(gap_s)
         if root not in self.ready_processes:
             await self.wait_until_ready(number)
 
+    def send_signal(self, root, name):
+        """Send a signal to a root process, and record a reload of its configuration."""
+        if name == "HUP":
+            self.event_log.write("reloaded", root=root.number)
+        root.process.send_signal(getattr(signal, f"SIG{name}"))
+
     async def kill_root(self, number):
         root = self.current_processes[number]
         if root is None or root.process.poll() is not None:
@@ -390,10 +405,10 @@
         self.agent_index[number] = 1 - self.agent_index[number]
         if half:
             self.write_config(number, complete=False)
-            root.process.send_signal(signal.SIGHUP)
+            self.send_signal(root, "HUP")
             await trio.sleep(0.1)
         self.write_config(number)
-        root.process.send_signal(signal.SIGHUP)
+        self.send_signal(root, "HUP")
         if again_after_s is not None:
             await trio.sleep(again_after_s)
             await self.reload_root(number)
@@ -422,6 +437,17 @@
         await trio.sleep(RESTART_NOTICE_DELAY_S)
         self.discovery.send_command(do="tell", targets=[self.discovery_target(leaf)])
 
+    async def drain_during_restart(self, number, leaf, s, answer_after_s):
+        """Kill a root, and have a leaf begin to drain before the root runs again."""
+        root = self.current_processes[number]
+        if root is None or root.process.poll() is not None:
+            return
+        async with trio.open_nursery() as nursery:
+            self.discovery.send_command(do="slow", root=number, s=answer_after_s)
+            nursery.start_soon(self.kill_root, number)
+            await trio.lowlevel.checkpoint()
+            nursery.start_soon(self.drain_leaf, leaf, s)
+
     async def drain_leaf(self, leaf, s):
         self.discovery.send_command(do="tell", targets=[self.discovery_target(leaf, "Terminating")])
         await trio.sleep(s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -148,7 +148,9 @@
         (
             "drain, told at the latest",
             [
+                event(2.9, "silent", root=0),
                 event(3.0, "change", rev=41, leaf="s1", state="Terminating", boot_ms=0),
+                event(8.5, "reloaded", root=0),
                 request(),
                 sent(10.0),
                 outcome(),
@@ -173,6 +175,53 @@
     assert violated_rules(*events) == [expected]
 
 
+def drained(t):
+    return event(t, "change", rev=41, leaf="s1", state="Terminating", boot_ms=0)
+
+
+ROOT_STARTED = event(9.5, "root started", root=0)
+SERVED_REQUEST = [request(), sent(10.0), outcome()]
+OUTAGE = event(9.0, "told to", do="down", s=0.8) | {"who": "discovery"}
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [drained(9.0)],
+        [drained(9.0), ROOT_STARTED],  # the agent has had it since before the start
+        [drained(9.0), ROOT_STARTED, event(9.9, "serving", root=0)],
+        [drained(9.0), event(9.2, "held", root=0, s=0.6)],
+        [drained(9.0), event(9.1, "silent", root=0)],
+        [event(8.9, "silent", root=0), drained(9.0), event(9.5, "watch served", root=0)],
+        [event(5.0, "reloaded", root=0), drained(8.0)],
+        [event(9.4, "reloaded", root=0), drained(9.0)],
+        [event(8.9, "fault", what="fail calls", whom=0, call="recv", s=0.5), drained(9.0)],
+        [event(8.9, "fault", what="fail calls", whom=1, call="recv", s=1.0), drained(9.0)],
+        [event(8.9, "fault", what="fail calls", whom=0, call="accept", s=1.0), drained(9.0)],
+        [event(7.0, "told to", do="down", s=2.5) | {"who": "discovery"}, drained(9.0)],
+    ],
+)
+def test_a_drain_counts_as_known_once_the_agent_has_it_or_the_process_has_started(events):
+    assert violated_rules(*events, *SERVED_REQUEST) == ["drain"]
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        [drained(9.8)],
+        [drained(9.0), event(9.8, "root started", root=0)],
+        [drained(9.0), event(9.1, "held", root=0, s=0.8)],
+        [event(8.9, "silent", root=0), drained(9.0)],
+        [event(8.9, "silent", root=0), drained(9.0), event(9.8, "watch served", root=0)],
+        [event(8.9, "reloaded", root=0), drained(9.0)],
+        [event(8.9, "fault", what="fail calls", whom=0, call="recv", s=1.0), drained(9.0)],
+        [OUTAGE, drained(9.1)],
+    ],
+)
+def test_a_drain_that_the_root_cannot_have_learned_is_not_yet_known(events):
+    assert violated_rules(*events, *SERVED_REQUEST) == []
+
+
 @pytest.mark.parametrize(
     "events",
     [
