A read that is dated too early checks for a step of the wall clock

Callers whose request arrived within 10 ms of a scheduler pass, just after the wall clock had been set back by 0.02 to 10 s, were refused with their time not over: the request was dated back by the step. Passes closer than 10 ms are not checked for a step, so that only the old offset was a candidate, and a date less than 10 s back is accepted.

A date before the pass before the last but one cannot be right unless the data was left unread; the step is now looked for at that read, too.

test_step_since_the_last_pass_is_noticed_at_the_read failed for -0.4, -3 and -9 s before.

--- a/mothnotch/net/arrival_clock.py
+++ b/mothnotch/net/arrival_clock.py
@@ -28,8 +28,8 @@
     soon as it arrives has the smallest delay between timestamp and read, so the smallest difference
     seen is the offset. The wall clock may be stepped at any time, before or after a timestamp is
     taken, so a timestamp may or may not include the step. Each scheduler pass therefore checks for
-    a step, and after one, the old and the new offset are both candidates until only one of them
-    fits.
+    a step, as does a read that is dated too early. After a step, the old and the new offset are
+    both candidates until only one of them fits.
 
     An offset fits if data arrives no later than it is read and no earlier than two passes before,
     as an earlier pass would have reported it. The bound is two passes, as a wait that a signal
@@ -64,11 +64,7 @@
         if gap_s - timeout > _STALL_S:  # sockets were not polled, but data may have arrived
             self._stall_start_s = self.third_last_pass_s
             self._stall_end_s = now_s
-        wall_ahead_s = time.time() - now_s
-        step_s = wall_ahead_s - self._wall_ahead_s
-        self._wall_ahead_s = wall_ahead_s
-        if self.offsets_s and abs(step_s) > _STEP_S:
-            self.offsets_s = [self.offsets_s[-1], self.offsets_s[-1] - step_s]
+        self._detect_step(now_s)
         self.third_last_pass_s = self.second_last_pass_s
         self.second_last_pass_s = self.last_pass_s
         self.last_pass_s = now_s
@@ -82,7 +78,14 @@
             too_early_s = self.third_last_pass_s - timestamp_s - offset_s
             return max(0.0, too_early_s, timestamp_s + offset_s - now_s - _JITTER_S)
 
-        best_offset_s = min(self.offsets_s, key=lambda offset_s: (violation_s(offset_s), offset_s))
+        def best_fit_s():
+            return min(self.offsets_s, key=lambda offset_s: (violation_s(offset_s), offset_s))
+
+        best_offset_s = best_fit_s()
+        if self.third_last_pass_s - timestamp_s - best_offset_s > _STEP_S:
+            # Passes closer than _MIN_PASS_S are not checked: the step may be more recent.
+            self._detect_step(trio.current_time())
+            best_offset_s = best_fit_s()
         # The clocks drift apart slowly, so an offset learned earlier may be too small now.
         drifted_offset_s = best_offset_s + _MAX_DRIFT_RATIO * (now_s - self.learned_at_s)
         arrived_s = min(now_s, timestamp_s + drifted_offset_s)
@@ -113,6 +116,14 @@
         was_stalled = trio.current_time() - self._stall_end_s < _STALL_EFFECT_S
         return min(last_s, self._stall_start_s) if was_stalled else last_s
 
+    def _detect_step(self, now_s):
+        """Add a candidate if the wall clock was stepped since this was last checked."""
+        wall_ahead_s = time.time() - now_s
+        step_s = wall_ahead_s - self._wall_ahead_s
+        self._wall_ahead_s = wall_ahead_s
+        if self.offsets_s and abs(step_s) > _STEP_S:
+            self.offsets_s = [self.offsets_s[-1], self.offsets_s[-1] - step_s]
+
     def _learn(self, offset_s, now_s):
         """Accept an offset as the only candidate; return `now_s`."""
         self.offsets_s = [offset_s]
--- a/tests/test_arrival_clock.py
+++ b/tests/test_arrival_clock.py
@@ -1,5 +1,7 @@
 """Conversion of kernel receive timestamps to the monotonic clock, with times set by the test."""
 
+import time
+
 import pytest
 import trio
 
@@ -56,3 +58,13 @@
     # The first offset was learned from a read that was 12 ms late.
     clock.offsets_s = [-WALL + 0.012, -WALL - 3.0]
     assert clock.arrival(WALL + 9.999, 10.0) == pytest.approx(10.0, abs=0.02)
+
+
+# Guards against a request dated back by a step of the wall clock that no scheduler pass has noticed.
+@pytest.mark.parametrize("step", [3.0, -0.4, -3.0, -9.0, -3600.0])
+def test_step_since_the_last_pass_is_noticed_at_the_read(monkeypatch, step):
+    clock = make_clock(9.98, 9.99, 10.0)
+    clock._wall_ahead_s = WALL
+    monkeypatch.setattr(time, "time", lambda: WALL + step + 10.004)
+    monkeypatch.setattr(trio, "current_time", lambda: 10.004)
+    assert clock.arrival(WALL + step + 10.003, 10.004) == pytest.approx(10.003, abs=0.01)
