--- a/tests/test_arrival_clock.py
+++ b/tests/test_arrival_clock.py
@@ -60,7 +60,7 @@
     assert clock.arrival(WALL + 9.999, 10.0) == pytest.approx(10.0, abs=0.02)
 
 
-# Guards against a request dated back by a step of the wall clock that no scheduler pass has noticed.
+# Guards against a request dated back by a step of the wall clock that no pass has noticed.
 @pytest.mark.parametrize("step", [3.0, -0.4, -3.0, -9.0, -3600.0])
 def test_step_since_the_last_pass_is_noticed_at_the_read(monkeypatch, step):
     clock = make_clock(9.98, 9.99, 10.0)
