A root with a list on disk waits for its agents' list before it listens

The start now waits first_s (5 s) for an agent's list whether or not there is one on disk, as it did without one; with no agent in that time it serves from the disk, as before.

test_root_with_a_list_on_disk_serves_once_it_has_the_agents_list failed before (kind CACHED, the leaf up).

--- a/mothnotch/config/discovery_sections.py
+++ b/mothnotch/config/discovery_sections.py
@@ -39,7 +39,8 @@
 
     `cell`, `zone` and `started` are keys in the meta of an instance. `follow` is the number of
     agents watched at once, `held` the file that caches the last endpoint list for at most
-    `held_most_s`, and `answer_limit` a size in bytes. The start waits `first_s` for a first list.
+    `held_most_s`, and `answer_limit` a size in bytes. The start waits `first_s` for an agent's
+    first list, also with a cached one.
 
     Failed health checks take leaves out of service while at most the fraction `critical_most` of
     the leaves is critical. An answer from which more than the fraction `shrink` of the leaves is
--- a/mothnotch/consul/watch.py
+++ b/mothnotch/consul/watch.py
@@ -89,7 +89,8 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled.
 
-        The task reports that it has started once there is a list, or after `first_s` without one.
+        The task reports that it has started once an agent has answered, or after `first_s`: the
+        list cached on disk may name leaves that have drained since.
         """
         if self._list_cache is not None and await self._list_cache.restore(self.membership):
             self.publish()
@@ -100,7 +101,7 @@
             nursery.start_soon(self._run_timers)
             if self._list_cache is not None:
                 nursery.start_soon(self._save_changes)
-            if self.entries is None:
+            if not self.membership.is_live:
                 with trio.move_on_after(self.conf.first_s):
                     await self._live_list_published.wait()
             task_status.started()
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -294,6 +294,26 @@
     play(test, held=cache_path)
 
 
+# Guards against queries served from the list on disk while the agents' newer one is on its way.
+def test_root_with_a_list_on_disk_serves_once_it_has_the_agents_list(tmp_path):
+    cache_path = str(tmp_path / "last.db")
+
+    async def test(world):
+        await trio.sleep(3)
+        async with trio.open_nursery() as nursery:
+            for agent in world.agents:
+                agent.faults.delay_s = 1.0
+            world.catalogue.maintenance("node-4", True)
+            await world.start_root(nursery, held=cache_path)
+            assert (
+                world.root.watch.kind is interface.WatchEventKind.SNAPSHOT
+                and world.up_names() == ALL_NAMES - {"node-4/leaf"}
+            )
+            nursery.cancel_scope.cancel()
+
+    play(test, held=cache_path)
+
+
 def test_roots_discover_peers_in_the_catalogue_and_keep_them_while_no_agent_answers():
     async def test(world):
         def peers(number):
