A watch that ends after a while is reopened at once, a refused one within 0.08 s

A watch that the agent ends instead of telling a drain was reopened only after 0.025 to 0.05 s, one that is refused after up to 0.2 s; the operators' sites have graces from 0.06 s, to which the platform adds 0.05 s.

The delay now counts from the last opening, so that only watches that end soon after they were opened wait, and it is bounded by 0.08 s.

--- a/mothnotch/decisions/watch_policy.py
+++ b/mothnotch/decisions/watch_policy.py
@@ -3,6 +3,7 @@
 Pure: callers pass in the watches' events and the time. All times are in seconds.
 """
 
+import math
 from collections.abc import Callable
 
 # Interval at which a watch sends a message, even if nothing has changed.
@@ -13,9 +14,10 @@
 # further watch, so that a slow agent is not sent many requests.
 FIRST_MESSAGE_TIMEOUT_S = 0.5
 MAX_FIRST_MESSAGE_TIMEOUT_S = 6.0
-# Backoff before replacing the last open watch after it broke, initially and at most.
-REOPEN_DELAY_S = 0.05
-MAX_REOPEN_DELAY_S = 0.2
+# Backoff between opening the last watch and replacing it once it broke, initially and at most: a
+# drain that the agent has by then must be known within its grace.
+REOPEN_DELAY_S = 0.04
+MAX_REOPEN_DELAY_S = 0.08
 # Timeout for connecting a watch.
 CONNECT_TIMEOUT_S = 1.0
 # Maximum number of open watches; beyond it the oldest is closed.
@@ -37,8 +39,8 @@
     of a change soon after a silent watch missed it. Therefore a silent watch is not closed for a
     new one, which may be silent as well: both stay open, and the first that sends a message
     replaces the others. Guards against watches that fall silent, are silent from the start or break
-    repeatedly. Cost: an agent that is down gets five requests a second while it refuses watches,
-    and `max_open` watches while it accepts them.
+    repeatedly. Cost: an agent that is down gets up to 25 requests a second while it refuses
+    watches, and `max_open` watches while it accepts them.
     """
 
     connect_timeout_s = CONNECT_TIMEOUT_S
@@ -53,6 +55,7 @@
         # When the next watch is due.
         self.next_open_s = now_s
         self.open_count = 0
+        self.last_opened_s = -math.inf
         # Whether any watch has sent a message.
         self.has_received = False
         self.reopen_delay_s = REOPEN_DELAY_S
@@ -61,6 +64,7 @@
     def on_opened(self, now_s: float) -> None:
         """Record that a watch was opened."""
         self.open_count += 1
+        self.last_opened_s = now_s
         self.next_open_s = now_s + self.first_message_timeout_s
         self.first_message_timeout_s = min(
             MAX_FIRST_MESSAGE_TIMEOUT_S, 2 * self.first_message_timeout_s
@@ -77,9 +81,8 @@
         """Record that a watch ended; schedule another, with jitter, if it was the last one."""
         self.open_count -= 1
         if self.open_count == 0:
-            self.next_open_s = min(
-                self.next_open_s, now_s + self.reopen_delay_s * (0.5 + self.random() / 2)
-            )
+            earliest_s = self.last_opened_s + self.reopen_delay_s * (0.5 + self.random() / 2)
+            self.next_open_s = min(self.next_open_s, max(now_s, earliest_s))
             self.reopen_delay_s = min(MAX_REOPEN_DELAY_S, 2 * self.reopen_delay_s)
 
     def on_agent_changed(self, now_s: float) -> None:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -16,8 +16,8 @@
 from tests.support.platform_environment import run_on_virtual_clock
 
 # NOTIFIED_S: time after which a change that a silent watch missed counts as known to the root.
-# GRACE_S: the shortest grace period of a drain.
-NOTIFIED_S, GRACE_S = 6.0, 0.25
+# GRACE_S: the shortest grace period of a drain in deploy/sites, with the platform's 50 ms.
+NOTIFIED_S, GRACE_S = 6.0, 0.06 + 0.05
 
 
 # ---- when another watch is opened ----
@@ -68,6 +68,15 @@
     assert max_per_second <= 1 / (watch_policy.REOPEN_DELAY_S / 2) + 1
 
 
+# Guards against sends to a leaf whose drain an agent held when it ended the watch without telling.
+def test_watch_that_ends_after_a_while_is_reopened_at_once():
+    policy = watch_policy.WatchPolicy(Random(1).random, 0.0)
+    policy.on_opened(0.0)
+    policy.on_message(0.1)
+    policy.on_broken(1.0)
+    assert policy.next_open_s == 1.0
+
+
 # ---- older lists ----
 
 
