Soak: of two attempts of a part, the earlier one is the one that the root sent first

The check ordered them by the leaves' records and so asked whether the second had been closed before the first. They are ordered by the root's sends now; an attempt that was not closed or cancelled before is found in either order, as the test's second case shows.

--- a/mothnotch/soak/history.py
+++ b/mothnotch/soak/history.py
@@ -93,6 +93,11 @@
                 return closed["t"] <= later_send["t"]
         return False
 
+    def send_time(self, part):
+        """Return when the root sent what a leaf recorded as this part."""
+        send = self._find_send(part)
+        return part["t"] if send is None else send["t"]
+
     def _find_send(self, part):
         """Return the root's record of the send that a leaf recorded as this part, or None."""
         sends = [
--- a/mothnotch/soak/judge.py
+++ b/mothnotch/soak/judge.py
@@ -203,6 +203,8 @@
     for event in history.by_kind["part"]:
         parts_by_wire_id[event["wire_id"]].append(event)
     for wire_id, parts in parts_by_wire_id.items():
+        # A leaf may record an attempt that was held up on its way after the next one.
+        parts.sort(key=history.send_time)
         for n, event in enumerate(parts):
             for earlier in parts[:n]:
                 key = earlier["who"], earlier["link"]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -374,6 +374,23 @@
     assert violated_rules(*history) == expected
 
 
+@pytest.mark.parametrize(("closed_at", "expected"), [(10.1, []), (10.115, ["second copy"])])
+def test_an_attempt_held_up_on_its_way_is_still_the_earlier_one(closed_at, expected):
+    """Soak seed 201: the first attempt reached its leaf after the second, its connection closed."""
+    history = [
+        request(),
+        sent(10.0) | {"link": 5},
+        event(closed_at, "root leaf connection closed", root=0, life=0, link=5),
+        sent(10.11, "s2", 1) | {"link": 6},
+        part(10.12, "s2", 7),
+        part(10.125),
+        event(10.2, "done", wire_id=WIRE_ID, link=1, end="good") | {"who": "s1"},
+        event(10.2, "done", wire_id=WIRE_ID, link=7, end="good") | {"who": "s2"},
+        outcome(10.3),
+    ]
+    assert violated_rules(*history) == expected
+
+
 def test_an_answer_that_a_root_logs_as_late_is_excused_only_by_a_suspension():
     line = {"event": "invariant violated", "rule": "FINAL_LATE", "query": "q1", "late_s": 0.4}
     history = [
