--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -10,7 +10,7 @@
     "net/sockets.py": "access to the clock",
     "node/log.py": "time stamps of log lines",
     "soak/shim.py": "clock steps in tests",
-    "soak/run.py": "start times of leaves in endpoint lists",
+    "soak/faults.py": "start times of leaves in endpoint lists",
 }
 WALL_CLOCK_CALLS = {
     ("time", "time"),
