Soak: the checks look a part's sends up by its id

Ordering attempts by their sends went through all sends for each part: a soak of 4 roots took over 60 s, most of it in the checks.

--- a/mothnotch/soak/history.py
+++ b/mothnotch/soak/history.py
@@ -29,6 +29,9 @@
             (e["root"], e["life"], e["query"]): e["request"] for e in self.by_kind["root request"]
         }
         self.accepted_rids = set(self.rid_by_query.values())
+        self._sends_by_wire_id = defaultdict(list)
+        for event in self.by_kind["root sent"]:
+            self._sends_by_wire_id[event["wire_id"]].append(event)
 
     def suspended_s(self, root, begin, end):
         """Return for how many seconds of a span a root was suspended by SIGSTOP."""
@@ -102,10 +105,8 @@
         """Return the root's record of the send that a leaf recorded as this part, or None."""
         sends = [
             event
-            for event in self.by_kind["root sent"]
-            if event["wire_id"] == part["wire_id"]
-            and event["leaf"] == part["who"]
-            and event["t"] <= part["t"]
+            for event in self._sends_by_wire_id[part["wire_id"]]
+            if event["leaf"] == part["who"] and event["t"] <= part["t"]
         ]
         return sends[-1] if sends else None
 
