Soak: a silent watch or a reload of one process excuses nothing of its successor

Found in reading the change again: in the new check of drains the span in which a root cannot learn a change, after a SIGHUP for up to 4 s, went on for the process that was started next, which has the agent's list from its start. Such spans end with their process; failing calls last, as they do in the fault. Two new histories broke nothing before and break 'drain' now.

--- a/mothnotch/soak/drain_checks.py
+++ b/mothnotch/soak/drain_checks.py
@@ -70,13 +70,14 @@
     def __init__(self, history):
         """Collect the spans in which a root cannot learn of changes."""
         self._history = history
-        self._blind_spans = defaultdict(list)  # root -> [(begin, end)], ordered
+        # root -> [(begin, end, whether it lasts beyond the process)], ordered
+        self._blind_spans = defaultdict(list)
         self._add_silences()
         for event in history.by_kind["reloaded"]:
             self._add_span(event["root"], event["t"], RELOAD_DELAY_MAX_S)
         for event in history.by_kind["fault"]:
             if event["what"] == "fail calls" and event["call"] in CALLS_TO_AGENT:
-                self._add_span(event["whom"], event["t"], event["s"])
+                self._add_span(event["whom"], event["t"], event["s"], outlives_process=True)
         for spans in self._blind_spans.values():
             spans.sort()
 
@@ -92,9 +93,10 @@
         for begin, end in self._history.discovery_outages():
             if begin <= known_at < end:
                 known_at = end
-        known_at = max(known_at, self._history.process_start(root, at))
-        for begin, end in self._blind_spans[root]:
-            if begin <= known_at < end:
+        started_at = self._history.process_start(root, at)
+        known_at = max(known_at, started_at)
+        for begin, end, outlives_process in self._blind_spans[root]:
+            if begin <= known_at < end and (outlives_process or begin >= started_at):
                 known_at = end
         return known_at
 
@@ -109,8 +111,8 @@
             silent_s = min([DISCOVERY_DELAY_MAX_S, *(t - event["t"] for t in served)])
             self._add_span(event["root"], event["t"], silent_s)
 
-    def _add_span(self, root, begin, length_s):
-        self._blind_spans[root].append((begin, begin + length_s))
+    def _add_span(self, root, begin, length_s, outlives_process=False):
+        self._blind_spans[root].append((begin, begin + length_s, outlives_process))
 
 
 def _drain_spans_by_watch(history):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -190,6 +190,9 @@
         [drained(9.0)],
         [drained(9.0), ROOT_STARTED],  # the agent has had it since before the start
         [drained(9.0), ROOT_STARTED, event(9.9, "serving", root=0)],
+        # What held up the process before does not hold up its successor.
+        [event(8.9, "reloaded", root=0), drained(9.0), ROOT_STARTED],
+        [event(8.9, "silent", root=0), drained(9.0), ROOT_STARTED],
         [drained(9.0), event(9.2, "held", root=0, s=0.6)],
         [drained(9.0), event(9.1, "silent", root=0)],
         [event(8.9, "silent", root=0), drained(9.0), event(9.5, "watch served", root=0)],
