--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -506,6 +506,7 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     temporary = tempfile.mkdtemp(prefix="review-")
     status = 2
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # runs the case's clean-up
 
     async def run():
         async with asyncio.timeout(110):
@@ -515,7 +516,7 @@
         held = asyncio.run(run())
         status = 0 if held else 1
         record.write("judge", "rule held" if held else "RULE BROKEN", trouble=has_trouble)
-    except (OSError, TimeoutError, CouldNotRunError, asyncio.IncompleteReadError) as error:
+    except Exception as error:  # also a defect of the case itself must not look like a broken rule
         record.write("judge", "could not run", error=repr(error))
     for log in sorted(Path(temporary).glob("*.log")):
         record.file.write(f"---- the log of {log.stem}\n{log.read_text(errors='replace')}")
