--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -518,9 +518,10 @@
         record.write("judge", "rule held" if held else "RULE BROKEN", trouble=has_trouble)
     except Exception as error:  # also a defect of the case itself must not look like a broken rule
         record.write("judge", "could not run", error=repr(error))
-    for log in sorted(Path(temporary).glob("*.log")):
-        record.file.write(f"---- the log of {log.stem}\n{log.read_text(errors='replace')}")
-    record.file.close()
-    shutil.rmtree(temporary, ignore_errors=True)
+    finally:
+        for log in sorted(Path(temporary).glob("*.log")):
+            record.file.write(f"---- the log of {log.stem}\n{log.read_text(errors='replace')}")
+        record.file.close()
+        shutil.rmtree(temporary, ignore_errors=True)
     print((Path(folder) / "record.txt").read_text(errors="replace")[-1500:], file=sys.stderr)
     sys.exit(status)
