Shutdown: requests open at SIGTERM are answered before the root ends, whatever their deadlines

Cause: `NodeRoot.stop` ends the process `answer_by_s + EXIT_DELAY_S` after SIGTERM (3.5 s where the longest deadline is 3 s or more), but only requests that were parsed after SIGTERM had their deadlines bounded by `answer_by_s`. An open one kept its own; neither balancer nor deadline guard ended it by then.

Evidence: `accepted queries not answered` now names the time left: 0.397 s, so the guard was not due (a guard or turn that never ran would show a time below zero). Deadlines up to 3.4 s were never affected.

Fix: `HttpFrontend.begin_shutdown` has the core bound the deadlines of all open queries, too. The guard ends each by `answer_by_s`, and what is queued behind it is parsed with the same bound. The client gets a failure 0.3 s before the platform may kill the process, in place of a closed connection.

--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -85,9 +85,13 @@
     # ---- graceful shutdown ----
 
     def begin_shutdown(self, answer_by_s: float):
-        """Close each connection with its last answer, and give all answers by `answer_by_s`."""
+        """Close each connection with its last answer, and give all answers by `answer_by_s`: to
+        requests that are open now, and to those that are still received.
+        """
         self.context.stopping = True
         self.context.answer_by_s = answer_by_s
+        open_count = self.context.core.shorten_deadlines(int(answer_by_s * 1e6))
+        self.context.log.info("shutdown began", open_queries=open_count)
 
     async def stop(self, listeners: list):
         """Accept the backlog and then no further connections; close idle ones. Requests that were
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -3,10 +3,26 @@
 import pytest
 import trio
 
+from mothnotch.decisions.resource_limits import (
+    MAX_SHUTDOWN_DEADLINE_S,
+    SHUTDOWN_SLACK_S,
+)
 from mothnotch.standins.platform import request
 from mothnotch.standins.platform_settings import options
+from tests.support.platform_environment import run_on_virtual_clock
 from tests.support.platform_rig import on_real_sockets, rig, wait_until
 
+# Time after SIGTERM at which the platform kills a root whose deadlines are 3 s or longer.
+KILL_AFTER_S = MAX_SHUTDOWN_DEADLINE_S + SHUTDOWN_SLACK_S
+
+
+def lanes_with_deadline(deadline_s):
+    """Return the classes with this deadline and a latency objective of half of it."""
+    return [
+        {**lane, "aimUs": int(deadline_s * 5e5), "deadlineUs": int(deadline_s * 1e6)}
+        for lane in options()["lanes"]
+    ]
+
 
 @on_real_sockets
 async def test_stop_serves_the_backlog_and_unread_requests():
@@ -52,3 +68,38 @@
         client.send_bytes(request("r1", "read", (0,), timeout_ms=600))
         got = await client.read_answer()
         assert got is not None and trio.current_time() < began_s + 0.6 + 0.7
+
+
+@pytest.mark.parametrize("kind", ["read", "hold"])
+@pytest.mark.parametrize("deadline_s", [3.5, 4.0, 6.0, 30.0])
+@pytest.mark.parametrize("taken_s", [0.1, 1.0])
+def test_request_taken_before_the_shutdown_is_answered_though_its_deadline_is_after_the_end(
+    kind, deadline_s, taken_s
+):
+    """Guards against a root that closes connections, as it ends, before it has answered requests
+    that it took before SIGTERM and whose deadlines are later than its end. All leaves hang.
+    """
+
+    async def test(env):
+        for leaf in env.leaves:
+            leaf.reply_kind = lambda _request_id, _shard: "silent"
+        # The second client has another request queued behind its open one.
+        clients = [await env.client(), await env.client()]
+        numbers = iter(range(100))
+        for client, count in zip(clients, (1, 2), strict=True):
+            for _ in range(count):
+                rid = f"r{next(numbers)}"
+                key = f"k{rid}" if kind == "hold" else None
+                await client.send(request(rid, kind, (0,), "t", int(deadline_s * 1e3), key))
+        await trio.sleep(taken_s)
+        began_s = trio.current_time()
+        env.nursery.start_soon(env.root.stop)
+        for client, count in zip(clients, (1, 2), strict=True):
+            for _ in range(count):
+                answer = None
+                with trio.move_on_at(began_s + KILL_AFTER_S):
+                    answer = await client.read_answer()
+                assert answer is not None and answer[0] in (503, 504), answer
+        assert env.root.core.unanswered()[2] == []
+
+    run_on_virtual_clock(test, lanes=lanes_with_deadline(deadline_s))
