Leaf frames: an answer is believed only once its end is confirmed

Cause: `FrameReader.feed` returned every frame that was as long as it stated, "the frames before an error are valid", and `AnswerReader` completed their attempts before it looked at the error. But the bytes behind a frame are the only sign of a wrong length, so the frame before an error is the doubtful one.

Fix: a frame is delivered if all received data ends with it, or if the header of another frame follows. Fewer than five bytes behind it are waited for; anything else drops it, and its part ends as BROKEN, which may have run. Text left behind by a short length is never a header, as its top byte is not zero; a long length takes the next frame's first bytes, which leaves no header either. A read of maximum length confirms nothing while more data is unread.

Left: if the bytes pause exactly where a wrong length ends, nothing has come yet that contradicts it.

--- a/mothnotch/net/memory.py
+++ b/mothnotch/net/memory.py
@@ -286,6 +286,10 @@
         """Return whether the peer closed the connection and no received data is unread."""
         return stream.closed or not stream.buffer and (stream.eof_received or stream.peer.closed)
 
+    def has_unread(self, stream: MemoryStream) -> bool:
+        """Return whether more data can be read."""
+        return bool(stream.buffer)
+
     def accept_now(self, listener: MemoryListener) -> MemoryStream | None:
         """Return a pending connection, None if there is none."""
         try:
--- a/mothnotch/net/sockets.py
+++ b/mothnotch/net/sockets.py
@@ -195,6 +195,13 @@
                 return None
             raise
 
+    def has_unread(self, stream) -> bool:
+        """Return, without waiting, whether more data can be read; an end or error is none."""
+        try:
+            return bool(stream.socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
     def accept_now(self, listener: Listener) -> trio.SocketStream | None:
         """Return a pending connection, None if there is none.
 
--- a/mothnotch/node/answer_reader.py
+++ b/mothnotch/node/answer_reader.py
@@ -50,7 +50,11 @@
             data, at_s = await self.context.network.receive(connection.stream, READ_BYTES)
             if connection.is_closed or not data:
                 return
-            received, error = connection.frame_reader.feed(data)
+            # Only a read of maximum length can have left data over.
+            more_follows = len(data) == READ_BYTES and self.context.network.has_unread(
+                connection.stream
+            )
+            received, error = connection.frame_reader.feed(data, more_follows)
             if received:
                 # Only complete frames count as responses: a never-ending answer delivers none.
                 connection.last_frame_us = int(at_s * 1e6)
--- a/mothnotch/node/frames.py
+++ b/mothnotch/node/frames.py
@@ -75,6 +75,12 @@
 class FrameReader:
     """Splits a byte stream into frames.
 
+    The length of a frame may be wrong, so a frame is returned only once its end is confirmed: all
+    received data ends with it, or the header of another frame follows. If anything else follows,
+    the length was too small or too large, and the frame is dropped with what follows. A length that
+    is too small leaves text behind, which is never a valid header; one that is too large takes the
+    first bytes of the next frame, so that no valid header follows either.
+
     Memory is bounded by one frame of maximum length plus the data of one `feed`.
     """
 
@@ -83,30 +89,55 @@
         self.max_frame_bytes = max_frame_bytes
         self.buffered = b""
 
-    def feed(self, data: bytes) -> tuple[list[tuple[bytes, bytes]], FrameError | None]:
-        """Return the frames completed by `data` as (type, body) pairs, and the first error or None.
+    def feed(
+        self, data: bytes, more_follows: bool = False
+    ) -> tuple[list[tuple[bytes, bytes]], FrameError | None]:
+        """Return the frames confirmed by `data` as (type, body) pairs, and the first error or None.
 
-        The frames before an error are valid.
+        `more_follows`: more data may have been received than `data`, so that its end confirms
+        nothing. No frame can be read after an error.
         """
         data = self.buffered + data if self.buffered else data
+        confirmed = []
+        unconfirmed = None  # the last complete frame
         start = 0
-        complete = []
-        while len(data) - start >= 4:
-            length = LENGTH_PREFIX.unpack_from(data, start)[0]
-            if not 1 <= length <= self.max_frame_bytes:
-                self.buffered = b""
-                return complete, FrameError(
-                    f"frame of {length} bytes; 1 to {self.max_frame_bytes} are accepted"
-                )
-            type_at = start + 4
-            if len(data) > type_at and data[type_at] not in LEAF_FRAME_TYPES:
-                return complete, FrameError(f"unknown frame type {data[type_at : type_at + 1]!r}")
-            if len(data) - type_at < length:
-                break
-            complete.append((data[type_at : type_at + 1], data[type_at + 1 : type_at + length]))
-            start = type_at + length
-        self.buffered = data[start:]
-        return complete, None
+        kept_from = 0  # start of the first frame that is not confirmed
+        try:
+            while (end := self._end_of_frame(data, start)) is not None:
+                if unconfirmed is not None:
+                    confirmed.append(unconfirmed)
+                unconfirmed = None
+                kept_from = start
+                if end > len(data):
+                    break
+                type_at = start + LENGTH_PREFIX.size
+                unconfirmed = (data[type_at : type_at + 1], data[type_at + 1 : end])
+                start = end
+        except FrameError as error:
+            self.buffered = b""
+            return confirmed, error
+        if unconfirmed is not None and start == len(data) and not more_follows:
+            confirmed.append(unconfirmed)
+            kept_from = start
+        self.buffered = data[kept_from:]
+        return confirmed, None
+
+    def _end_of_frame(self, data, start):
+        """Return where the frame at `start` ends, None if its header is incomplete.
+
+        Raise FrameError if the header is invalid.
+        """
+        type_at = start + LENGTH_PREFIX.size
+        if len(data) < type_at:
+            return None
+        length = LENGTH_PREFIX.unpack_from(data, start)[0]
+        if not 1 <= length <= self.max_frame_bytes:
+            raise FrameError(f"frame of {length} bytes; 1 to {self.max_frame_bytes} are accepted")
+        if len(data) == type_at:
+            return None
+        if data[type_at] not in LEAF_FRAME_TYPES:
+            raise FrameError(f"unknown frame type {data[type_at : type_at + 1]!r}")
+        return type_at + length
 
 
 def decode_answer(body: bytes) -> LeafAnswer:
--- a/mothnotch/standins/platform.py
+++ b/mothnotch/standins/platform.py
@@ -16,8 +16,23 @@
 from mothnotch.net import close_now, serve
 from mothnotch.standins.leaf import LeafEvent
 
-MALFORMED_REPLIES = ("noise", "endless", "short", "huge", "letter", "end", "id", "number")
-REPLIES_WITH_EXTRA_DATA = ("copy", "trailing", "report")
+MALFORMED_REPLIES = (
+    "noise",
+    "endless",
+    "short",
+    "huge",
+    "letter",
+    "end",
+    "id",
+    "number",
+    # The end of a good answer is not where its length states it, or cannot be told from that.
+    "length-4",
+    "length-8",
+    "trailing",
+)
+REPLIES_WITH_EXTRA_DATA = ("copy", "report")
+# Good answers whose length is wrong in a way that shows only with later data.
+INCOMPLETE_REPLIES = ("length-1", "length-2", "length-3", "length+1", "length+8")
 
 
 def value_of(text, shard):
@@ -49,7 +64,8 @@
     """One leaf.
 
     `reply_kind(request_id, shard)` selects the reply to a part: "good", "bad", "later", "silent",
-    one of MALFORMED_REPLIES or of REPLIES_WITH_EXTRA_DATA. `work_s` is the service time of a part.
+    one of MALFORMED_REPLIES, INCOMPLETE_REPLIES or REPLIES_WITH_EXTRA_DATA. `work_s` is the service
+    time of a part.
     """
 
     def __init__(self, world, network, name, cell, cells, reach, work_s=0.05, listen="leaf:0"):
@@ -167,6 +183,8 @@
         good = frame(
             f"{wire_id} {end} 184 inflight=7,util=0.61\n{value if end == 'good' else ''}".encode()
         )
+        if reply_kind.startswith("length"):
+            return struct.pack("<I", len(good) - 4 + int(reply_kind[6:])) + good[4:]
         return {
             "noise": b"\x9d\x01\x00\x00\x07" * 40,
             "endless": frame(b"x" * 4000),
