Pipelining: a timeout header counts once its line is whole, however it is split

And a request with 4 s was given up 0.25 s later, if the one behind it came as `X-Timeout-Ms: 4` and `000`.

Cause: `RequestHandler.shorten_deadline` searched each read by itself, and took digits at the end of a read for the whole number: bytes believed before the rest of their line was known.

Evidence: the request cut at each byte of its head; before, cuts within the header's line were late by 2.8 s, and a cut after `40` ended the request ahead of it (504).

Fix: only a line with its line feed counts, and the last incomplete line (256 bytes at most) is kept for the next read.

Tests: test_timeout_header_in_two_pieces_shortens_the_open_request_before_it (two cases) and test_timeout_number_that_is_cut_off_does_not_shorten_the_open_request; all three failed before.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -33,7 +33,8 @@
 
     `since_s`: the start of its current timeout: the time of connecting, of the first byte of a
     request or of the last answer, whichever was last. `arrived_s`: arrival time of the last byte of
-    the current request. `pipelined_bytes`: bytes received behind it. `partial`: part of a next
+    the current request. `pipelined_bytes`: bytes received behind it. `partial_line`: the last
+    of these from the last line feed on. `partial`: part of a next
     request was received. `truncated`: more pipelined bytes came than are buffered, and further
     input is ignored. `closing`: the last answer was given; `lingering`: and it is written
     completely.
@@ -57,6 +58,7 @@
         self.waited_since_s = self.network.pending_since(stream)
         self.arrived_s = self.since_s
         self.pipelined_bytes = 0
+        self.partial_line = b""
         self.discarded_bytes = 0
         self.partial = False
         self.truncated = False
--- a/mothnotch/node/request_handler.py
+++ b/mothnotch/node/request_handler.py
@@ -11,8 +11,10 @@
 from mothnotch.node.frontend_context import FrontendContext
 from mothnotch.root.core import OverloadedError
 
-# The timeout of a request that is not parsed yet, as it is queued behind another.
-TIMEOUT_HEADER = re.compile(rb"(?i)\nx-timeout-ms:[ \t]*([0-9]{1,9})")
+# The timeout of a request that is not parsed yet, as it is queued behind another; a complete line.
+TIMEOUT_HEADER = re.compile(rb"(?i)\nx-timeout-ms:[ \t]*([0-9]{1,9})[ \t]*\r?\n")
+# Maximum length of an incomplete line that is kept until its rest is received.
+MAX_PARTIAL_LINE_BYTES = 256
 
 
 class RequestHandler:
@@ -56,6 +58,7 @@
             return
         client.request_id = request_id
         self.open_request_ids.add(request_id)
+        client.partial_line = b""
         self.shorten_deadline(client, client.http.trailing_data[0], client.arrived_s)
         if core.trace.enabled:
             self._trace_request(client, request)
@@ -78,7 +81,12 @@
         """
         if client.query is None:
             return
+        data = client.partial_line + data
         timeouts_ms = [int(timeout) for timeout in TIMEOUT_HEADER.findall(data)]
+        # A header may be split over several reads, and a number that is cut off is a wrong one.
+        line_start = max(0, data.rfind(b"\n"))
+        partial_line = data[line_start:]
+        client.partial_line = b"" if len(partial_line) > MAX_PARTIAL_LINE_BYTES else partial_line
         latest_s = resource_limits.pipelined_deadline_s(at_s, timeouts_ms)
         if latest_s is not None:
             self.context.core.shorten_deadline(client.query, int(latest_s * 1e6))
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -6,10 +6,13 @@
 import trio
 
 from mothnotch.standins.platform import request
+from mothnotch.standins.platform_settings import options
+from tests.support.platform_environment import run_on_virtual_clock
 from tests.support.platform_rig import on_real_sockets, parts_of_call, rig, serve_connection
 from tests.support.root_process import open_warm_connection, root_process
 
 REQUESTS = 12
+LANES = [{**lane, "deadlineUs": 4_000_000} for lane in options()["lanes"]]
 
 
 @on_real_sockets
@@ -175,3 +178,63 @@
         assert told_ms <= left_ms + 150
         for other in burst:
             other.disconnect()
+
+
+def split_in_two(data, line_end=b"\r\n"):
+    """Return a request cut into two pieces at each position of its head."""
+    data = data.replace(b"\r\n", line_end)
+    head_bytes = data.index(2 * line_end) + 2 * len(line_end)
+    return [(data[:cut], data[cut:]) for cut in range(1, head_bytes)]
+
+
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"], ids=["crlf", "lf"])
+def test_timeout_header_in_two_pieces_shortens_the_open_request_before_it(line_end):
+    """Guards against an answer that is seconds late, as the header with its timeout was split."""
+    late = []
+
+    def send(pieces):
+        async def test(env):
+            for leaf in env.leaves:
+                leaf.reply_kind = lambda _request_id, _shard: "silent"
+            client = await env.client()
+            await client.send(request("r1", "read", (0,), timeout_ms=4000))
+            await trio.sleep(0.05)
+            began_s = trio.current_time()
+            for piece in pieces:
+                await client.send(piece)
+                await trio.sleep(0.02)
+            answers = [await client.read_answer() for _ in range(2)]
+            took_s = trio.current_time() - began_s
+            if None in answers or took_s > 0.6 + 0.5:
+                late.append((pieces[0][-20:], took_s))
+
+        run_on_virtual_clock(test, lanes=LANES)
+
+    for pieces in split_in_two(request("r2", "read", (0,), timeout_ms=600), line_end):
+        send(pieces)
+    assert late == []
+
+
+def test_timeout_number_that_is_cut_off_does_not_shorten_the_open_request():
+    """Guards against a request that is given up early, as the number behind it was read in part."""
+    given_up = []
+
+    def send(pieces):
+        async def test(env):
+            for leaf in env.leaves:
+                leaf.work_s = 0.7
+            client = await env.client()
+            await client.send(request("r1", "read", (0,), timeout_ms=4000))
+            await trio.sleep(0.05)
+            await client.send(pieces[0])
+            await trio.sleep(0.6)
+            await client.send(pieces[1])
+            answers = [await client.read_answer() for _ in range(2)]
+            if [answer and answer[0] for answer in answers] != [200, 200]:
+                given_up.append(pieces[0][-20:])
+
+        run_on_virtual_clock(test, lanes=LANES)
+
+    for pieces in split_in_two(request("r2", "read", (1,), timeout_ms=4000)):
+        send(pieces)
+    assert given_up == []
