SQL root: statements accepted before a shutdown are answered before it ends

What callers saw: at SIGTERM the root for SQL cancelled everything; each statement in progress lost its connection without an answer, a write without its outcome.

Cause: the command `serve` cancelled the root's nursery at the signal. It had no shutdown at all; only the platform's root had one.

Evidence: a statement sent to a served root 0.05 s before SIGTERM got no result (`get_result` None).

Fix: `Root.stop` deregisters, stops accepting, bounds the deadlines of open and later statements by `shutdown_answer_s` (as the platform's root), and waits until each session has its answers. A session ends with FATAL 57P01 once nothing it sent is unanswered or unread. The end is not a fixed instant: what is open then ends first. A second signal ends the root at once, as the first did before. `serve` uses it; the demo, whose leaves end with it, does not.

The log test of an unanswered query follows the field `left_s`.

--- a/mothnotch/cli/application.py
+++ b/mothnotch/cli/application.py
@@ -10,6 +10,7 @@
 import trio
 
 from mothnotch.config import Config, ConfigError, load, load_roster
+from mothnotch.daemon import Root
 
 # Exit status for invalid input; status 1 means that the command ran and found a fault.
 EXIT_BAD_INPUT = 2
@@ -30,6 +31,25 @@
             return
 
 
+async def stop_at_signal(root: Root, scope: trio.CancelScope) -> None:
+    """Shut a root down at the first SIGINT or SIGTERM, then cancel the scope; the second signal
+    cancels it at once.
+    """
+
+    async def stop():
+        await root.stop()
+        scope.cancel()
+
+    is_stopping = False
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async with trio.open_nursery() as nursery:
+            async for _ in signals:
+                if is_stopping:
+                    scope.cancel()
+                is_stopping = True
+                nursery.start_soon(stop)
+
+
 def exit_with_errors(errors: Iterable[str]) -> NoReturn:
     """Print each error on a line of standard error, and exit with status 2."""
     for line in errors:
--- a/mothnotch/cli/root_commands.py
+++ b/mothnotch/cli/root_commands.py
@@ -8,7 +8,7 @@
 
 from mothnotch import demo as demo_fleet
 from mothnotch import logs, net
-from mothnotch.cli.application import app, cancel_at_signal, exit_with_errors, load_or_exit
+from mothnotch.cli.application import app, exit_with_errors, load_or_exit, stop_at_signal
 from mothnotch.daemon import Root, cpu_time
 from mothnotch.net.line_output import LineStream, standard_error, standard_output
 
@@ -27,15 +27,16 @@
 
 @app.command
 def serve(*, config: Path):
-    """Run a root until SIGINT or SIGTERM."""
+    """Run a root until SIGINT or SIGTERM; the statements accepted by then are answered."""
     sys.stderr = LineStream(standard_error())  # printing must not block on a slow reader
     loaded = load_or_exit(config)
     log = logs.logger(loaded.log.format, loaded.log.level)
 
     async def run():
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(cancel_at_signal, nursery.cancel_scope)
-            root = await nursery.start(Root(loaded, net.SocketNetwork(), log, cpu=cpu_time).run)
+            root = Root(loaded, net.SocketNetwork(), log, cpu=cpu_time)
+            nursery.start_soon(stop_at_signal, root, nursery.cancel_scope)
+            await nursery.start(root.run)
             addresses = " ".join(f"postgresql://{address}" for address in root.addresses)
             standard_output().write(f"serving {addresses}\n".encode())
 
--- a/mothnotch/daemon.py
+++ b/mothnotch/daemon.py
@@ -14,6 +14,7 @@
 from mothnotch.consul.registrar import Registrar
 from mothnotch.consul.watch import ConsulWatch
 from mothnotch.decisions.memory_budget import MemoryBudget
+from mothnotch.decisions.resource_limits import EXIT_DELAY_S, shutdown_answer_s
 from mothnotch.fronts.pg import PgFrontend
 from mothnotch.fronts.session import Service
 from mothnotch.leaves.pool import LeafPools
@@ -68,6 +69,7 @@
         self.addresses: list[str] = []
         self.peers: PeerService | None = None
         self.registrar: Registrar | None = None
+        self._registration_scope = trio.CancelScope()
         self.peer_discovery: PeerDiscovery | None = None
         # The order of the random draws below must not change: seeded runs must be reproducible.
         if config.peers is not None:
@@ -168,6 +170,26 @@
             return {}
         return {ADDRESS_META_KEY: self.config.peers.address or self.peers.socket.address}
 
+    async def stop(self) -> None:
+        """Shut down gracefully: return once all accepted statements are answered.
+
+        Every statement is answered within `shutdown_answer_s`, whatever its deadline; sessions
+        without a statement end at once. The caller cancels `run` afterwards.
+        """
+        if self.front.stopping or not self.addresses:
+            return
+        longest_us = max(
+            query_class.deadline_us for query_class in self.core.settings.classes.values()
+        )
+        answer_by_s = trio.current_time() + shutdown_answer_s(longest_us)
+        self._registration_scope.cancel()  # so that clients are sent here no more
+        self.front.begin_shutdown(answer_by_s * 1e6)
+        open_count = self.core.shorten_deadlines(int(answer_by_s * 1e6))
+        self.log.info("shutdown began", open_queries=open_count, sessions=len(self.front.clients))
+        await self.front.wait_for_sessions(answer_by_s)
+        self.core.end_open_queries()
+        await self.front.wait_for_sessions(trio.current_time() + EXIT_DELAY_S)
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; report started once all addresses listen and the list was read.
 
@@ -188,13 +210,17 @@
                 if self.peer_discovery is not None:
                     nursery.start_soon(self.peer_discovery.run)
                 if self.registrar is not None:
-                    nursery.start_soon(self.registrar.run)
+                    nursery.start_soon(self._run_registrar)
                 self.log.info("serving", addresses=self.addresses)
                 task_status.started(self)
                 await trio.sleep_forever()
         finally:
             self.log.info("stopped", **self.core.counts)
 
+    async def _run_registrar(self) -> None:
+        with self._registration_scope:
+            await self.registrar.run()
+
 
 def cpu_time() -> float:
     """Return the CPU time of this thread, in seconds."""
--- a/mothnotch/decisions/resource_limits.py
+++ b/mothnotch/decisions/resource_limits.py
@@ -60,6 +60,15 @@
     linger_s: float
 
 
+def shutdown_answer_s(longest_deadline_us: int) -> float:
+    """Return the time after SIGTERM by which every accepted request is answered.
+
+    `longest_deadline_us`: the longest deadline of any query class.
+    """
+    longest_s = min(longest_deadline_us / 1e6, MAX_SHUTDOWN_DEADLINE_S)
+    return longest_s + SHUTDOWN_SLACK_S - ANSWER_MARGIN_S
+
+
 def derive_limits(descriptors: int, idle_us: int, longest_deadline_us: int) -> ResourceLimits:
     """Return the limits for a root with that number of file descriptors.
 
@@ -67,7 +76,6 @@
     longest deadline of any query class.
     """
     shared = max(MIN_SHARED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS)
-    longest_s = min(longest_deadline_us / 1e6, MAX_SHUTDOWN_DEADLINE_S)
     return ResourceLimits(
         max_clients=shared // 2,
         max_leaf_connections=shared // 4,
@@ -76,7 +84,7 @@
         request_timeout_s=2.0,
         send_timeout_s=3.0,
         shutdown_accept_s=0.55,
-        shutdown_answer_s=longest_s + SHUTDOWN_SLACK_S - ANSWER_MARGIN_S,
+        shutdown_answer_s=shutdown_answer_s(longest_deadline_us),
         linger_s=0.5,
     )
 
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -25,6 +25,10 @@
 FLUSH_BYTES = 1 << 17  # bytes of output that are buffered before they are sent
 
 
+READ_BYTES = 1 << 16  # maximum size of a read of unread input before a session ends
+STOP_POLL_S = 0.02  # interval at which a stopping root checks whether any session is left
+
+
 @dataclass(slots=True)
 class PreparedStatement:
     plan: object  # None for an empty statement
@@ -85,7 +89,10 @@
         scope.cancel()
 
     async def next_event(self):
-        """Return the next event; flush the output before waiting for it."""
+        """Return the next event; flush the output before waiting for it.
+
+        Return None if the root shuts down and all input is answered.
+        """
         while True:
             # Created before the buffer is checked: data that arrives during the flush must set the
             # event that is awaited below, or the wakeup is lost.
@@ -94,6 +101,8 @@
             if event is not None:
                 return event
             await self.flush()
+            if self.frontend.stopping and self.is_answered():
+                return None
             self.input_consumed.set()
             seconds, sqlstate, text = self.idle_limit()
             with trio.move_on_after(seconds) as scope:
@@ -101,6 +110,21 @@
             if scope.cancelled_caught and not self.data_received.is_set():
                 raise ProtocolError(text, sqlstate)
 
+    def receive_unread(self):
+        """Receive input that has arrived but was not read yet; return whether there was any."""
+        data = self.frontend.network.receive_now(self.stream, READ_BYTES)
+        if data:
+            self.wire.receive(data)
+            self.data_received.set()
+        return bool(data)
+
+    def is_answered(self):
+        """Return whether all input that has arrived is answered.
+
+        Part of a message counts as unanswered, as its rest may be on its way.
+        """
+        return not self.receive_unread() and not self.wire.buffered_bytes
+
     def idle_limit(self):
         """Return (seconds a client may be idle, SQLSTATE and text of the error after that)."""
         limit = (
@@ -145,6 +169,7 @@
     async def run(self):
         """Serve the client until it or the server ends the connection."""
         frontend = self.frontend
+        was_shut_down = False  # stays so if the client disconnects, which cancels `serve`
         try:
             try:
                 with trio.fail_after(frontend.config.auth.timeout_s):
@@ -152,8 +177,12 @@
                         return
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self.read_ahead, nursery.cancel_scope)
-                    await self.serve()
+                    was_shut_down = await self.serve()
                     nursery.cancel_scope.cancel()
+                if was_shut_down:
+                    await self.send_fatal_error(
+                        "57P01", "terminating connection due to administrator command"
+                    )
             except BaseExceptionGroup as group:
                 while isinstance(group, BaseExceptionGroup) and len(group.exceptions) == 1:
                     group = group.exceptions[0]
@@ -265,7 +294,9 @@
     # ---- events ----
 
     async def serve(self):
-        """Handle events until the client terminates the connection."""
+        """Handle events until the client ends the session, or the root does as it shuts down;
+        return whether it was the root.
+        """
         handlers = {
             wire.Query: self.on_query,
             wire.Parse: self.on_parse,
@@ -276,9 +307,11 @@
         }
         while True:
             event = await self.next_event()
+            if event is None:
+                return True
             kind = type(event)
             if kind is wire.Terminate:
-                return
+                return False
             if kind is wire.Sync:
                 self.session.on_sync()
                 if self.session.transaction.status.value == b"I":
@@ -600,6 +633,8 @@
             random,
         )
         self.clients = {}
+        self.stopping = False
+        self.accept_scope = trio.CancelScope()
         self.verifiers = {}
         if config.auth.method != "trust":
             self.verifiers = {
@@ -625,7 +660,32 @@
         close_now(stream)
 
     async def run(self, listeners, nursery):
-        """Accept connections until cancelled."""
-        await serve(
-            listeners, self.serve_client, nursery, self.config.front.most_connections, self.reject
-        )
+        """Accept connections until cancelled or stopped."""
+        with self.accept_scope:
+            await serve(
+                listeners,
+                self.serve_client,
+                nursery,
+                self.config.front.most_connections,
+                self.reject,
+            )
+        for listener in listeners:
+            await listener.aclose()
+
+    def begin_shutdown(self, answer_by_us):
+        """Accept no more connections, answer all statements by `answer_by_us`, and end each session
+        once all its input is answered.
+        """
+        self.stopping = True
+        self.accept_scope.cancel()
+        self.service.answer_by_us = answer_by_us
+        for client in self.clients.values():
+            client.data_received.set()
+
+    async def wait_for_sessions(self, until_s):
+        """Wait until all sessions have ended, but not longer than until `until_s`."""
+        with trio.move_on_at(until_s):
+            # Sleep at least once: a client that was just accepted has no session yet.
+            await trio.sleep(STOP_POLL_S)
+            while self.clients:
+                await trio.sleep(STOP_POLL_S)
--- a/mothnotch/fronts/session.py
+++ b/mothnotch/fronts/session.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 from dataclasses import dataclass, field
 
 import trio
@@ -141,6 +142,8 @@
     key_numbers: object = field(default_factory=lambda: itertools.count(1))
     cost_estimator: object = field(default_factory=request_classes.CostEstimator)
     class_kinds: dict = field(init=False)  # class -> (takes writes, is default)
+    # Deadline of all requests, on the root's clock; finite once the root shuts down.
+    answer_by_us: float = math.inf
 
     def __post_init__(self):
         self.class_kinds = self.config.class_kinds()
@@ -408,7 +411,7 @@
             class_name,
             self.user if self.user in service.config.tenants else None,
             affinity_key,
-            now_us() + limit,
+            int(min(now_us() + limit, service.answer_by_us)),
             tuple(parts),
             priority_weight=class_settings.worth,
             overflow_error=ErrorFields(
--- a/tests/test_root_errors.py
+++ b/tests/test_root_errors.py
@@ -178,5 +178,7 @@
             return dict(r.log.lines)
 
     lines = trio.run(test)
+    (left_s,) = lines["accepted queries not answered"].pop("left_s")
+    assert 0 < left_s <= 1
     assert lines["accepted queries not answered"] == {"taken": 1, "ends": 0, "queries": ["q1"]}
     gc.collect()
