SQL sessions: a statement that is unread when the idle timeout expires is answered

What callers saw: after a hold-up of the process, a session past its idle timeout got FATAL 57P05 although its next statement had arrived in time and lay unread.

Cause: `Client.next_event` looks at what the reading task has read. After a hold-up the timeout and the readable socket are due in one pass, and the timeout's task may run first.

Fix: input is read once more before the session ends.

--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -107,7 +107,11 @@
             seconds, sqlstate, text = self.idle_limit()
             with trio.move_on_after(seconds) as scope:
                 await self.data_received.wait()
-            if scope.cancelled_caught and not self.data_received.is_set():
+            if (
+                scope.cancelled_caught
+                and not self.data_received.is_set()
+                and not self.receive_unread()
+            ):
                 raise ProtocolError(text, sqlstate)
 
     def receive_unread(self):
--- a/tests/test_sql_shutdown.py
+++ b/tests/test_sql_shutdown.py
@@ -166,3 +166,28 @@
             if process is not None:
                 process.kill()
                 process.wait()
+
+
+@pytest.mark.parametrize("held_up_s", [0.005, 0.15, 5.0])
+def test_statement_that_arrives_as_the_idle_timeout_expires_is_answered(held_up_s):
+    """Guards against a session that is ended as idle while its next statement is unread, which
+    happens if the process is held up past the timeout.
+    """
+    unanswered = []
+
+    async def test(world):
+        idle_s = world.root.config.front.idle_s
+        for early_s in (0.001, 0.01, 0.1):
+            client = await world.client()
+            await client.query(READ)
+            await trio.sleep(idle_s - early_s)
+            await client.send(wire.query(READ))
+            trio.lowlevel.current_clock().jump(held_up_s)
+            try:
+                await client.read_reply()
+            except ConnectionLostError:
+                unanswered.append(early_s)
+
+    front = {"idle_s": 2.0}
+    run(test, changes={"front": front})
+    assert unanswered == []
