Soak: leaves that hang through a shutdown, patient clients, answers of wrong lengths

Each soak now stops a root while all replicas of some shards hang until after the kill, has clients that wait 6 s, and three spells in which a leaf states lengths that are wrong by 1 to 64 bytes. Drawn by generators of their own, so that the faults of earlier seeds stay as they are; no excuse or bound changed.

--- a/mothnotch/soak/client.py
+++ b/mothnotch/soak/client.py
@@ -26,6 +26,7 @@
     b"POST /api HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
 )
 IDLE_RECONNECT_DELAY_S = (2.0, 4.0)  # range of the delay after an idle connection was closed
+PATIENT_TIMEOUT_S = 6.0  # timeout of requests that outlast the shutdown of a root
 ANSWER_GRACE_S = 1.2  # after the request's timeout, an answer is still awaited for this long
 
 
@@ -120,6 +121,8 @@
                 + [self.insisting] * 2
                 + [
                     self.slow,
+                    self.patient,
+                    self.patient,
                     self.leaving,
                     self.leaving,
                     self.resting,
@@ -223,6 +226,18 @@
             await trio.sleep(self.random.uniform(0.02, 0.08))
         await trio.aclose_forcefully(connection.stream)
 
+    async def patient(self):
+        """Send requests that may take longer than a root has for its shutdown."""
+        connection = await self.connect()
+        for _ in range(3):
+            request = self.request()
+            request.timeout_s = PATIENT_TIMEOUT_S
+            await connection.stream.send_all(request.data)
+            self.record_request(request, connection, "patient")
+            if not await self.receive_answer(request, connection):
+                break
+        await trio.aclose_forcefully(connection.stream)
+
     async def idle_until_closed(self):
         """Send nothing and keep the connection open until the root closes it."""
         connection = await self.connect()
--- a/mothnotch/soak/faults.py
+++ b/mothnotch/soak/faults.py
@@ -6,11 +6,9 @@
 
 import trio
 
-from mothnotch.soak import records
+from mothnotch.soak import plan, records
+from mothnotch.soak.settings import CELLS, REACH
 
-# After SIGTERM a root has the longest deadline (at most KILL_DEADLINE_MAX_S) and KILL_DELAY_S more
-# before SIGKILL follows.
-KILL_DELAY_S, KILL_DEADLINE_MAX_S = 0.7, 3.0
 RESTART_NOTICE_DELAY_S = 0.3
 START_SIGNAL_WINDOW_S = 0.4  # a starting root is sent signals within this time
 
@@ -38,6 +36,7 @@
             "drain during restart": lambda: self.drain_during_restart(
                 fault.target, **fault.parameters
             ),
+            "stop during hang": lambda: self.stop_during_hang(fault.target, **fault.parameters),
         }
         if fault.kind in handlers:
             await handlers[fault.kind]()
@@ -75,7 +74,7 @@
         if root not in self.soak.ready_processes:
             root.killed = True  # excused: a starting root may see SIGTERM too late to end in time
         self.soak.current_processes[number] = None
-        kill_after_s = min(self.soak.deployment.deadline_s, KILL_DEADLINE_MAX_S) + KILL_DELAY_S
+        kill_after_s = plan.kill_delay_s(self.soak.deployment)
         kill_at_s = math.inf
         for name in series:
             if name == "TERM" and kill_at_s == math.inf:
@@ -204,6 +203,16 @@
             await trio.lowlevel.checkpoint()
             nursery.start_soon(self.drain_leaf, leaf, s)
 
+    async def stop_during_hang(self, number, cell, before_s, s):
+        """Have all replicas of a shard hang for `s` seconds, and stop a root after `before_s`."""
+        cells = [(cell + offset) % CELLS for offset in range(REACH)]
+        for leaf in range(self.soak.deployment.leaves):
+            if leaf % CELLS in cells:
+                self.record_leaf_fault(leaf, s)
+                self.soak.leaves[leaf].send_command(do="hang", s=s)
+        await trio.sleep(before_s)
+        await self.stop_root(number, True)
+
     async def drain_leaf(self, leaf, s):
         """Have a leaf drain for `s` seconds."""
         self.soak.discovery.send_command(
--- a/mothnotch/soak/leaf.py
+++ b/mothnotch/soak/leaf.py
@@ -4,7 +4,8 @@
 lines on standard input: {"do": "hang", "s": 1.5}, {"do": "reset"}, {"do": "close_idle"}, {"do":
 "mood", "share": 0.3, "of": ["bad", "later", "spoilt", "endless"], "s": 2}. The last one makes that
 share of the parts end in one of the listed outcomes: an error ("bad"), a rejection ("later"), a
-corrupt frame ("spoilt") or an incomplete frame ("endless").
+corrupt frame ("spoilt"), an incomplete frame ("endless"), or a frame whose length is smaller ("too
+short") or larger ("too long") than that of the answer in it.
 """
 
 import itertools
@@ -21,6 +22,9 @@
 
 WORKERS = 4
 CORRUPT_FRAME = b"\x9d\x01\x00\x00\x07" * 20
+# A good answer whose frame states a length that is wrong by up to this, by its outcome.
+WRONG_LENGTH_MAX_BYTES = 64
+WRONG_LENGTH_SIGNS = {"too short": -1, "too long": 1}
 INCOMPLETE_FRAME = struct.pack("<I", 60_000) + b"q"
 
 
@@ -121,9 +125,11 @@
             return CORRUPT_FRAME
         if outcome == "endless":
             return INCOMPLETE_FRAME
-        value = expected_value(text, shard) if outcome == "good" else ""
-        payload = b"q" + f"{wire_id} {outcome} 7 inflight={len(self.parts)}\n{value}".encode()
-        return struct.pack("<I", len(payload)) + payload
+        wrong_by = self.leaf.draw_wrong_by(outcome)
+        end = "good" if wrong_by else outcome
+        value = expected_value(text, shard) if end == "good" else ""
+        payload = b"q" + f"{wire_id} {end} 7 inflight={len(self.parts)}\n{value}".encode()
+        return struct.pack("<I", max(1, len(payload) + wrong_by)) + payload
 
 
 class LeafProcess:
@@ -149,6 +155,12 @@
             return self.random.choice(self.fault_outcomes)
         return "good"
 
+    def draw_wrong_by(self, outcome):
+        """Return by how many bytes the length of an answer's frame is wrong; 0 if it is right."""
+        if outcome not in WRONG_LENGTH_SIGNS:
+            return 0
+        return WRONG_LENGTH_SIGNS[outcome] * self.random.randint(1, WRONG_LENGTH_MAX_BYTES)
+
     async def run(self, port):
         async with trio.open_nursery() as self.nursery:
             listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
--- a/mothnotch/soak/plan.py
+++ b/mothnotch/soak/plan.py
@@ -4,10 +4,17 @@
 
 from dataclasses import dataclass, field
 
+from mothnotch.soak.settings import CELLS
+
 CALLS = ("accept", "socket", "connect", "setsockopt", "send", "recv", "stderr")
 WALL_CLOCK_STEPS_S = (-3600.0, -9.0, -3.0, -0.4, 0.4, 3.0, 9.0, 3600.0)
 WARM_UP_S = 1.5  # no fault begins in this time after the start
 COOL_DOWN_S = 3.0  # no fault begins in this time before the end
+# After SIGTERM a root has the longest deadline (at most KILL_DEADLINE_MAX_S) and KILL_DELAY_S more
+# before SIGKILL follows.
+KILL_DELAY_S = 0.7
+KILL_DEADLINE_MAX_S = 3.0
+HANG_AFTER_KILL_S = 0.2  # leaves that hang through a shutdown still do so after a kill
 
 
 @dataclass(frozen=True)
@@ -74,6 +81,45 @@
     ]
 
 
+def draw_stops_during_hangs(random, deployment, length_s):
+    """Return a fault in which half of the leaves, with all replicas of some shards, hang from just
+    before a root is stopped until after it must have ended.
+
+    Drawn by a generator of their own, so that the faults of earlier seeds stay as they are.
+    """
+    before_s = random.uniform(0.05, 0.5)
+    hang_s = before_s + kill_delay_s(deployment) + HANG_AFTER_KILL_S
+    return [
+        Fault(
+            random.uniform(WARM_UP_S, max(WARM_UP_S, length_s - COOL_DOWN_S - hang_s)),
+            "stop during hang",
+            draw_root(random, deployment),
+            {"cell": random.randrange(CELLS), "before_s": before_s, "s": hang_s},
+        )
+    ]
+
+
+def draw_wrong_lengths(random, deployment, length_s):
+    """Return faults in which leaves state wrong lengths of their answers' frames.
+
+    Drawn by a generator of their own, as above.
+    """
+    return [
+        Fault(
+            random.uniform(WARM_UP_S, length_s - COOL_DOWN_S),
+            "leaf mood",
+            draw_leaf(random, deployment),
+            {"share": random.choice((0.2, 0.7)), "s": random.uniform(0.5, 2.0), "of": outcomes},
+        )
+        for outcomes in (["too short"], ["too long"], ["too short", "too long", "later"])
+    ]
+
+
+def kill_delay_s(deployment):
+    """Return the time after SIGTERM after which a root is killed."""
+    return min(deployment.deadline_s, KILL_DEADLINE_MAX_S) + KILL_DELAY_S
+
+
 def draw_root(random, deployment):
     return random.randrange(deployment.roots)
 
--- a/mothnotch/soak/run.py
+++ b/mothnotch/soak/run.py
@@ -39,6 +39,12 @@
             plan.draw_faults(self.random, self.deployment, length_s, faults)
             + plan.draw_drains_during_restarts(
                 random.Random(f"drains during restarts {seed}"), self.deployment, length_s
+            )
+            + plan.draw_stops_during_hangs(
+                random.Random(f"stops during hangs {seed}"), self.deployment, length_s
+            )
+            + plan.draw_wrong_lengths(
+                random.Random(f"wrong lengths {seed}"), self.deployment, length_s
             ),
             key=lambda fault: fault.at_s,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -425,6 +425,24 @@
     assert drawn[0] != plan.draw_faults(random.Random(8), DEPLOYMENT, 14.0, 16)
 
 
+def test_each_soak_draws_a_stop_while_leaves_hang_and_wrong_lengths():
+    """Guards against a soak that cannot show a root which ends, or serves a truncated value, as
+    no schedule contains what leads to it.
+    """
+    for seed in range(20):
+        (stop,) = plan.draw_stops_during_hangs(random.Random(seed), DEPLOYMENT, 14.0)
+        hang_end_s = stop.at_s + stop.parameters["s"]
+        stop_s = stop.at_s + stop.parameters["before_s"]
+        assert hang_end_s - stop_s >= plan.kill_delay_s(DEPLOYMENT)
+        assert stop.at_s >= plan.WARM_UP_S
+        assert hang_end_s <= 14.0 - plan.COOL_DOWN_S
+        drawn = plan.draw_wrong_lengths(random.Random(seed), DEPLOYMENT, 14.0)
+        assert {outcome for fault in drawn for outcome in fault.parameters["of"]} >= {
+            "too short",
+            "too long",
+        }
+
+
 def test_deployments_differ_by_seed_and_have_valid_settings():
     from mothnotch.decisions.settings import parse_settings
 
