--- a/tests/support/platform_environment.py
+++ b/tests/support/platform_environment.py
@@ -74,6 +74,20 @@
             "boot_ms": boot_ms,
         }
 
+    def spoil_first_answer(self, reply_kind):
+        """Have the leaves give a reply of this kind to the first part that they get, and good ones
+        to all others; return the list of the requests to which they reply.
+        """
+        replied = []
+
+        def choose(request_id, _shard):
+            replied.append(request_id)
+            return reply_kind if len(replied) == 1 else "good"
+
+        for leaf in self.leaves:
+            leaf.reply_kind = choose
+        return replied
+
     def set_leaf_state(self, leaf, state):
         """Have discovery announce a state of a leaf, and record it for the auditor."""
         self.world.record.endpoint_updates.append(
--- a/tests/test_leaf_answers.py
+++ b/tests/test_leaf_answers.py
@@ -92,18 +92,11 @@
     """
 
     async def test(env):
-        calls = []
-
-        def fail_once(rid, shard):
-            calls.append(rid)
-            return reply_kind if len(calls) == 1 else "good"
-
-        for leaf in env.leaves:
-            leaf.reply_kind = fail_once
+        replied = env.spoil_first_answer(reply_kind)
         status, _, got = await (await env.client()).ask("r1", "read", (0,), timeout_ms=1400)
         assert status == 200
         assert json.loads(got)["answers"] == [{"range": 0, "blob": platform.value_of("t", 0)}]
-        assert len(calls) == 2
+        assert len(replied) == 2
 
     run_on_virtual_clock(test)
 
@@ -114,13 +107,19 @@
     return answer_frame(wire_id, "v" * missing)
 
 
+async def open_call(r):
+    """Send request r1 for shard 0; return its client and the connection of the leaf that got it."""
+    client = r.client()
+    client.send_bytes(request("r1", "read", (0,), timeout_ms=6000))
+    connection = await r.home_leaf(0).accept_connection()
+    assert await connection.read_call() == ["r1.0"]
+    return client, connection
+
+
 @on_real_sockets
 async def test_an_answer_that_ends_with_a_read_of_maximum_length_is_served_at_once():
     async with rig() as r:
-        client = r.client()
-        client.send_bytes(request("r1", "read", (0,), timeout_ms=6000))
-        connection = await r.home_leaf(0).accept_connection()
-        assert await connection.read_call() == ["r1.0"]
+        client, connection = await open_call(r)
         await connection.stream.send_all(frame_of_size("r1.0", answer_reader.READ_BYTES))
         with trio.fail_after(2):
             assert (await client.read_answer())[0] == 200
@@ -130,10 +129,7 @@
 async def test_a_wrong_length_that_ends_with_a_read_of_maximum_length_is_noticed():
     """Guards against a truncated value that is served, as the read ends where the length states."""
     async with rig() as r:
-        client = r.client()
-        client.send_bytes(request("r1", "read", (0,), timeout_ms=6000))
-        connection = await r.home_leaf(0).accept_connection()
-        assert await connection.read_call() == ["r1.0"]
+        client, connection = await open_call(r)
         spoilt = frame_of_size("r1.0", answer_reader.READ_BYTES) + b"v" * 8
         connection.stream.socket._sock.send(spoilt)
         for leaf in r.leaves:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -317,14 +317,7 @@
 @pytest.mark.parametrize("reply_kind", platform.MALFORMED_REPLIES)
 def test_invalid_answer_is_a_failed_attempt_and_is_not_passed_on(reply_kind):
     async def test(env):
-        calls = []
-
-        def fail_once(rid, shard):
-            calls.append(rid)
-            return reply_kind if len(calls) == 1 else "good"
-
-        for leaf in env.leaves:
-            leaf.reply_kind = fail_once
+        env.spoil_first_answer(reply_kind)
         status, _, got = await (await env.client()).ask("r1", "read", (0,))
         assert status == 200 and json.loads(got)["answers"] == [
             {"range": 0, "blob": platform.value_of("t", 0)}
