--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -95,7 +95,11 @@
         accepted, finished, open_ids = self.core.unanswered()
         if accepted != finished:
             self.log.error(
-                "accepted queries not answered", taken=accepted, ends=finished, queries=open_ids
+                "accepted queries not answered",
+                taken=accepted,
+                ends=finished,
+                queries=open_ids,
+                left_s=self.core.time_left_s(),
             )
         self.log.info("stopped", **self.counts())
 
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -176,6 +176,15 @@
             self.deadlines.add(at_us, self.request_table.next_number(), query)
             self.dispatcher.wake()
 
+    def shorten_deadlines(self, at_us: int) -> int:
+        """End every open query by `at_us` at the latest, as the root shuts down; return their
+        number.
+        """
+        queries = list(self.queries.values())
+        for query in queries:
+            self.shorten_deadline(query, at_us)
+        return len(queries)
+
     def client_disconnected(self, query: Query):
         """Close a query whose client disconnected, if it is open, without reporting an outcome."""
         if query.outcome is None:
@@ -191,6 +200,14 @@
         open_ids = list(itertools.islice(self.queries, MAX_LOGGED_IDS))
         return self.counts["queries"], count_final_answers(self.counts), open_ids
 
+    def time_left_s(self) -> list[float]:
+        """Return the time until the client's deadline of each query that `unanswered` names."""
+        now_s = trio.current_time()
+        return [
+            round(query.request.deadline_us / 1e6 - now_s, 3)
+            for query in itertools.islice(self.queries.values(), MAX_LOGGED_IDS)
+        ]
+
     # ---- called by leaf connections and discovery ----
 
     def post(self, event: object):
