--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -20,6 +20,8 @@
 # Maximum size of pipelined requests that are buffered while one is open: otherwise one client could
 # exhaust the root's memory.
 MAX_PIPELINED_BYTES = 1 << 16
+# No more requests than this fit into the buffer, as none is shorter than 128 bytes.
+MAX_PIPELINED_REQUESTS = MAX_PIPELINED_BYTES // 128
 # Maximum size of one read of discarded data, and of all data discarded after a last answer.
 MAX_DISCARDED_BYTES = 1 << 18
 JSON = "application/json"
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -114,17 +114,21 @@
         close_now(client.stream)
         self.handler.abandon(client)
 
-    def confirm_idle(self, client: ClientConnection) -> bool:
-        """Return whether an idle connection may be closed; if it has unread data, process that and
-        return False.
-        """
+    def receive_unread(self, client: ClientConnection) -> bool:
+        """Process data that has arrived but was not read yet; return whether there was any."""
         try:
             data = self.context.network.receive_now(client.stream, READ_BYTES)
         except CONNECTION_LOST_ERRORS:
-            return True
+            return False
         if data:
             self.run_step(client, client.feed, data, trio.current_time())
-        return not data
+        return bool(data)
+
+    def confirm_idle(self, client: ClientConnection) -> bool:
+        """Return whether an idle connection may be closed: it has no unread data. If it has some,
+        that is processed.
+        """
+        return not self.receive_unread(client)
 
     def shed(self):
         """Close connections beyond the limit, in the order of decisions/resource_limits.py. A
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -8,7 +8,12 @@
 import trio
 
 from mothnotch.net import CONNECTION_LOST_ERRORS, RETRY_PAUSE_S, serve
-from mothnotch.node.client_connection import MAX_DISCARDED_BYTES, READ_BYTES, ClientConnection
+from mothnotch.node.client_connection import (
+    MAX_DISCARDED_BYTES,
+    MAX_PIPELINED_REQUESTS,
+    READ_BYTES,
+    ClientConnection,
+)
 from mothnotch.node.client_connections import ClientConnections
 from mothnotch.node.closing import ClientCloseReason
 from mothnotch.node.frontend_context import FrontendContext
@@ -103,6 +108,17 @@
             await self._accept_backlog(listener)
             await listener.aclose()
 
+    def answer_received(self):
+        """Answer all requests that were received by now, as the root ends right after it.
+
+        Data that the process did not get to read, because it was held up, is read first.
+        """
+        for client in list(self.connections.clients):
+            self.connections.receive_unread(client)
+        for _ in range(MAX_PIPELINED_REQUESTS):
+            if not self.context.core.end_open_queries():
+                return
+
     async def _accept_backlog(self, listener):
         """Accept all connections of the backlog. An accept that fails is retried for as long as
         answers may still be given: the client may have sent a request already.
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -179,13 +179,21 @@
         self.frontend.begin_shutdown(answer_by_s)
         await trio.sleep_until(began_s + self.resource_limits.shutdown_accept_s)
         await self.frontend.stop(self.listeners)
-        with trio.move_on_at(answer_by_s + EXIT_DELAY_S):
-            # Sleep at least once: a connection that was just accepted is not among the clients
-            # before its task runs.
-            await trio.sleep(STOP_POLL_S)
+        # Sleep at least once: a connection that was just accepted is not among the clients before
+        # its task runs.
+        await trio.sleep(STOP_POLL_S)
+        await self._wait_for_clients(answer_by_s)
+        self.core.end_open_queries()
+        # The delay counts from now: the process may have been held up past `answer_by_s`.
+        await self._wait_for_clients(trio.current_time() + EXIT_DELAY_S)
+        self.frontend.answer_received()
+        self.nursery.cancel_scope.cancel()
+
+    async def _wait_for_clients(self, until_s):
+        """Wait until all clients have disconnected, but not longer than until `until_s`."""
+        with trio.move_on_at(until_s):
             while self.frontend.connections.clients:
                 await trio.sleep(STOP_POLL_S)
-        self.nursery.cancel_scope.cancel()
 
     async def handle_signals(self, received):
         """Handle SIGHUP, SIGTERM and SIGINT, as `received` yields them, until it ends."""
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -185,6 +185,13 @@
             self.shorten_deadline(query, at_us)
         return len(queries)
 
+    def end_open_queries(self) -> int:
+        """End every open query now, as the root ends; return their number."""
+        queries = list(self.queries.values())
+        for query in queries:
+            self.deadlines.end(query)
+        return len(queries)
+
     def client_disconnected(self, query: Query):
         """Close a query whose client disconnected, if it is open, without reporting an outcome."""
         if query.outcome is None:
--- a/mothnotch/root/deadlines.py
+++ b/mothnotch/root/deadlines.py
@@ -44,11 +44,12 @@
         while self._heap and (self._heap[0][0] <= now or self._heap[0][2].outcome is not None):
             _, _, query = heapq.heappop(self._heap)
             if query.outcome is None:
-                self._end(query, now)
+                self.end(query)
 
-    def _end(self, query, now):
+    def end(self, query: Query):
+        """End an open query without a decision of the balancer."""
         core = self._core
-        if query.request.deadline_us > now:
+        if query.request.deadline_us > now_us():
             core.counts["hurried"] += 1
         else:
             core.counts["overdue"] += 1
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -4,6 +4,8 @@
 import trio
 
 from mothnotch.decisions.resource_limits import (
+    ANSWER_MARGIN_S,
+    EXIT_DELAY_S,
     MAX_SHUTDOWN_DEADLINE_S,
     SHUTDOWN_SLACK_S,
 )
@@ -14,6 +16,8 @@
 
 # Time after SIGTERM at which the platform kills a root whose deadlines are 3 s or longer.
 KILL_AFTER_S = MAX_SHUTDOWN_DEADLINE_S + SHUTDOWN_SLACK_S
+# Time between the usual end of a shutdown and the kill.
+KILL_MARGIN_S = ANSWER_MARGIN_S - EXIT_DELAY_S
 
 
 def lanes_with_deadline(deadline_s):
@@ -103,3 +107,62 @@
         assert env.root.core.unanswered()[2] == []
 
     run_on_virtual_clock(test, lanes=lanes_with_deadline(deadline_s))
+
+
+# Longest time for which the platform may hold a root up.
+HOLD_UP_S = 0.15
+# Time after SIGTERM at which a client makes a connection that it keeps for a later request.
+CONNECTED_AFTER_S = 0.5
+
+
+def hold_up_instants_s(end_s):
+    """Return instants over a whole shutdown, and every millisecond of its last 0.2 s.
+
+    A hold-up that begins at any of them is over before the process may be killed.
+    """
+    spread = [end_s / 18 * n for n in range(18)]
+    return spread + [end_s - 0.2 + 0.001 * n for n in range(199)]
+
+
+@pytest.mark.parametrize("deadline_s", [5.0, 0.6])
+def test_requests_are_answered_though_the_process_is_held_up_near_the_end_of_the_shutdown(
+    deadline_s,
+):
+    """Guards against a shutdown whose end is a fixed instant: after a hold-up of the process, the
+    root ended before the turn that would have answered open requests, or with requests unread.
+    """
+    unanswered = []
+
+    def hold_up_at(instant_s, end_s):
+        async def test(env):
+            for leaf in env.leaves:
+                leaf.reply_kind = lambda _request_id, _shard: "silent"
+            clients = [await env.client() for _ in range(2)]
+            await clients[0].send(request("r0", "read", (0,), "t", int(deadline_s * 1e3)))
+            await trio.sleep(0.1)
+            began_s = trio.current_time()
+            env.nursery.start_soon(env.root.stop)
+            # Clients still send for a while: here at the hold-up if it comes early, else before it.
+            await trio.sleep_until(began_s + min(CONNECTED_AFTER_S, instant_s))
+            await clients[1].send(request("r1", "read", (0,), "t", int(deadline_s * 500)))
+            if instant_s > CONNECTED_AFTER_S:
+                clients.append(await env.client())
+                await trio.sleep_until(began_s + instant_s)
+                if clients[2].stream.peer.closed:  # it sent nothing for too long
+                    clients.pop()
+                else:
+                    await clients[2].send(request("r2", "read", (0,), "t", 3000))
+            trio.lowlevel.current_clock().jump(HOLD_UP_S)
+            for number, client in enumerate(clients):
+                answer = None
+                with trio.move_on_at(began_s + end_s + KILL_MARGIN_S):
+                    answer = await client.read_answer()
+                if answer is None or answer[0] not in (408, 503, 504):
+                    unanswered.append((round(instant_s, 3), f"r{number}"))
+
+        run_on_virtual_clock(test, lanes=lanes_with_deadline(deadline_s))
+
+    end_s = min(deadline_s, MAX_SHUTDOWN_DEADLINE_S) + SHUTDOWN_SLACK_S - KILL_MARGIN_S
+    for instant_s in hold_up_instants_s(end_s):
+        hold_up_at(instant_s, end_s)
+    assert unanswered == []
