Accepting: a burst of connections does not wait one pass of the event loop each

Callers saw late answers on new connections: with 85 clients that connect at once, a usual client's request waited 1.0 to 1.4 s before it was read, as one connection was accepted in each pass and the passes take 10 ms and more while input is processed.

Up to ACCEPTS_PER_PASS (4) are accepted before the other tasks get their turn. A connection is now registered as it is accepted, not when its task starts: the order stays that of accepting, and the limit of clients is enforced at once, so that no more descriptors are used than before.

--- a/mothnotch/net/serving.py
+++ b/mothnotch/net/serving.py
@@ -14,8 +14,10 @@
     max_connections: int | None = None,
     reject: Callable | None = None,
     on_accept_error: Callable | None = None,
+    register: Callable = lambda stream: stream,
 ) -> None:
-    """Accept until cancelled, and run `handler(stream)` in the nursery for each connection.
+    """Accept until cancelled, and run `handler(register(stream))` in the nursery for each
+    connection; `register` is called in the order of accepting.
 
     While `max_connections` connections are open, run `reject(stream)` instead of the handler. A
     failed accept (for example, without free descriptors) is passed to `on_accept_error(error)` and
@@ -23,15 +25,15 @@
     """
     open_connections = 0
 
-    async def run_handler(stream):
+    async def run_handler(connection):
         nonlocal open_connections
-        open_connections += 1
         try:
-            await handler(stream)
+            await handler(connection)
         finally:
             open_connections -= 1
 
     async def accept(listener):
+        nonlocal open_connections
         while True:
             try:
                 stream = await listener.accept()
@@ -46,7 +48,8 @@
             if max_connections is not None and open_connections >= max_connections:
                 nursery.start_soon(reject, stream)
             else:
-                nursery.start_soon(run_handler, stream)
+                open_connections += 1
+                nursery.start_soon(run_handler, register(stream))
 
     async with trio.open_nursery() as accept_nursery:
         for listener in listeners:
--- a/mothnotch/net/sockets.py
+++ b/mothnotch/net/sockets.py
@@ -21,6 +21,11 @@
 _ANCILLARY_BYTES = socket.CMSG_SPACE(_TIMESTAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
 
 
+# Connections that are accepted in one pass of the event loop. A longer burst leaves the other tasks
+# their turn; with one, the last of a burst would wait for as many passes.
+ACCEPTS_PER_PASS = 4
+
+
 def close_now(stream) -> None:
     """Close a stream at once, without waiting."""
     (stream.socket if hasattr(stream, "socket") else stream).close()
@@ -35,6 +40,7 @@
     def __init__(self, sock):
         """Take ownership of a listening trio socket."""
         self.socket = sock
+        self._accepted_count = 0
         # Earliest time from which a connection may be pending: the end of the last wait for one.
         self._pending_since_s = trio.current_time()
 
@@ -48,7 +54,9 @@
             # instead of an additional wait until the socket is reported readable.
             stream = self.accept_now()
             if stream is not None:
-                await trio.lowlevel.cancel_shielded_checkpoint()
+                self._accepted_count += 1
+                if self._accepted_count % ACCEPTS_PER_PASS == 0:
+                    await trio.lowlevel.cancel_shielded_checkpoint()
                 return stream
             try:
                 await trio.lowlevel.wait_readable(self.socket._sock)
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -44,13 +44,18 @@
                     self._serve_client,
                     self.nursery,
                     on_accept_error=self._on_accept_failed,
+                    register=self._add_client,
                 )
             await trio.sleep_forever()
 
-    async def _serve_client(self, stream):
-        """Read a connection until it is closed, and record why it was closed."""
+    def _add_client(self, stream):
+        """Return the connection of an accepted stream; beyond the limit, others are closed."""
         client = ClientConnection(self.connections, self.handler, self.nursery, stream)
         self.connections.add(client)
+        return client
+
+    async def _serve_client(self, client):
+        """Read a connection until it is closed, and record why it was closed."""
         reason = ClientCloseReason.LEFT
         try:
             await self._read_client(client)
@@ -135,4 +140,4 @@
                 continue
             if stream is None:
                 return
-            self.nursery.start_soon(self._serve_client, stream)
+            self.nursery.start_soon(self._serve_client, self._add_client(stream))
