Leaf frames: frames beyond those that a leaf may send are not read

A read of 32 KiB from a leaf may hold 6,553 frames without a body, all of which were split (5.6 ms on an idle core) before the first, which answers nothing, ended the connection; with dozens of connections that adds up between two looks at due answers.

FrameReader stops at the first frame beyond the calls and health checks that are open on the connection. What a leaf may send was bounded by these already, so nothing sound is refused.

test_frames_beyond_those_that_a_leaf_may_send_are_not_read failed before (no bound).

--- a/mothnotch/node/answer_reader.py
+++ b/mothnotch/node/answer_reader.py
@@ -57,7 +57,9 @@
             more_follows = len(data) == READ_BYTES and self.context.network.has_unread(
                 connection.stream
             )
-            received, error = connection.frame_reader.feed(data, more_follows)
+            received, error = connection.frame_reader.feed(
+                data, more_follows, connection.expected_frames
+            )
             if received:
                 # Only complete frames count as responses: a never-ending answer delivers none.
                 connection.last_frame_us = int(at_s * 1e6)
--- a/mothnotch/node/frames.py
+++ b/mothnotch/node/frames.py
@@ -5,6 +5,7 @@
 (answer) and `o` or `p` (reply to a health check).
 """
 
+import math
 import re
 import struct
 
@@ -90,12 +91,12 @@
         self.buffered = b""
 
     def feed(
-        self, data: bytes, more_follows: bool = False
+        self, data: bytes, more_follows: bool = False, max_frames: float = math.inf
     ) -> tuple[list[tuple[bytes, bytes]], FrameError | None]:
         """Return the frames confirmed by `data` as (type, body) pairs, and the first error or None.
 
         `more_follows`: more data may have been received than `data`, so that its end confirms
-        nothing. No frame can be read after an error.
+        nothing. `max_frames`: more frames than these are an error. No frame can be read after one.
         """
         data = self.buffered + data if self.buffered else data
         confirmed = []
@@ -106,6 +107,8 @@
             while (end := self._end_of_frame(data, start)) is not None:
                 if unconfirmed is not None:
                     confirmed.append(unconfirmed)
+                    if len(confirmed) >= max_frames:
+                        raise FrameError(f"more than {max_frames} frames, which answer nothing")
                 unconfirmed = None
                 kept_from = start
                 if end > len(data):
--- a/mothnotch/node/leaf_connection.py
+++ b/mothnotch/node/leaf_connection.py
@@ -92,6 +92,11 @@
         """Return the number of attempts in flight or queued on the connection."""
         return len(self.in_flight) + len(self.queued)
 
+    @property
+    def expected_frames(self) -> int:
+        """Return the number of frames that the leaf may send by now."""
+        return len(self.in_flight) + len(self.abandoned) + len(self.health_checks)
+
     def close(self, reason: LeafCloseReason):
         """Close the connection, which ends its attempts; do nothing if it is already closed."""
         self.pool.close_connection(self, reason)
