Discovery: a list lets other work run, in whatever pieces it comes

A watch consumed all events of one read (64 KiB, up to 10,900 chunks of one byte, 0.07 to 0.16 s) in one go; each piece searched the whole unfinished line again, work that grows with the square of its length; and brackets were counted by a regular expression, 44 ms for a list of 3,200 leaves (478 KB).

The watch lets others run after INPUT_PASS_S (TimeSlice). A line is searched once.

test_a_list_in_small_chunks_lets_others_run, test_a_list_in_small_pieces_is_searched_once failed before; the counting is compared with the expression on drawn lines.

--- a/mothnotch/net/__init__.py
+++ b/mothnotch/net/__init__.py
@@ -17,6 +17,7 @@
 from mothnotch.net.loop_monitor import LoopMonitor
 from mothnotch.net.serving import serve
 from mothnotch.net.sockets import Listener, SocketNetwork, close_now
+from mothnotch.net.time_slice import TimeSlice
 
 __all__ = [
     "CONNECTION_LOST_ERRORS",
@@ -27,6 +28,7 @@
     "Listener",
     "LoopMonitor",
     "SocketNetwork",
+    "TimeSlice",
     "parse_address",
     "serve",
     "close_now",
--- a/mothnotch/node/discovery.py
+++ b/mothnotch/node/discovery.py
@@ -9,10 +9,11 @@
 import trio
 
 from mothnotch.decisions import endpoint_list
+from mothnotch.decisions.client_input import INPUT_PASS_S
 from mothnotch.decisions.interface import WatchEvent, WatchEventKind
 from mothnotch.decisions.start_times import StartTimes
 from mothnotch.decisions.watch_policy import WatchPolicy
-from mothnotch.net import CONNECTION_LOST_ERRORS, close_now
+from mothnotch.net import CONNECTION_LOST_ERRORS, TimeSlice, close_now
 from mothnotch.node import listing
 from mothnotch.root.core import now_us
 
@@ -164,14 +165,17 @@
         try:
             http = h11.Connection(h11.CLIENT)
             reader = listing.ListingReader(MAX_LIST_BYTES)
+            time_slice = TimeSlice(INPUT_PASS_S)
             await stream.send_all(self._request(http))
             self.log.info(
                 "discovery watch opened", address=self.address, version=self._held_version()
             )
             while True:
                 event = http.next_event()
+                await time_slice.yield_if_over()
                 if event is h11.NEED_DATA:
                     http.receive_data(await stream.receive_some(READ_BYTES))
+                    time_slice.restart()
                 elif isinstance(event, h11.Response):
                     if event.status_code != 200:
                         raise EOFError(f"status {event.status_code}")
--- a/mothnotch/node/listing.py
+++ b/mothnotch/node/listing.py
@@ -8,8 +8,8 @@
 
 # Endpoint state by discovery's name for it.
 STATES = {"Ready": "up", "Terminating": "draining", "Gone": "removed"}
-# Strings, complete or cut off at the end of a line, and the brackets of multi-line values.
-STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"?|[{}\[\]]')
+# Strings, complete or cut off at the end of a line.
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"?')
 
 
 class Target(msgspec.Struct):
@@ -61,6 +61,8 @@
         self.limit_bytes = limit_bytes
         self.buffered = bytearray()
         self.line_start = 0
+        # Start of what has not been searched for the end of the line yet.
+        self.searched_bytes = 0
         self.depth = 0
 
     def feed(self, data: bytes) -> list[Listing | None]:
@@ -69,11 +71,11 @@
         """
         self.buffered += data
         messages = []
-        while (end := self.buffered.find(b"\n", self.line_start)) >= 0:
+        while (end := self.buffered.find(b"\n", self.searched_bytes)) >= 0:
             line = bytes(self.buffered[self.line_start : end])
             self.line_start = end + 1
-            for token in STRING_OR_BRACKET.findall(line):
-                self.depth += (token in b"{[") - (token in b"}]")
+            self.searched_bytes = end + 1
+            self.depth += _opened_brackets(line)
             if self.depth > 0 and line.strip():
                 continue  # the list continues on the next line
             # The list is closed, or an empty line cut it off; decoding the latter raises an error.
@@ -81,7 +83,19 @@
             self.depth = 0
             del self.buffered[: self.line_start]
             self.line_start = 0
+            self.searched_bytes = 0
             messages.append(decode(text) if text.strip() else None)
+        self.searched_bytes = len(self.buffered)
         if len(self.buffered) > self.limit_bytes:
             raise EOFError(f"the list exceeds {self.limit_bytes} bytes")
         return messages
+
+
+def _opened_brackets(line: bytes) -> int:
+    """Return how many more brackets a line opens than it closes; those in strings do not count."""
+    if b"\\" in line:
+        line = STRING.sub(b"", line)
+    elif b'"' in line:
+        line = b"".join(line.split(b'"')[::2])
+    opened = line.count(b"{") + line.count(b"[")
+    return opened - line.count(b"}") - line.count(b"]")
--- a/tests/test_long_steps.py
+++ b/tests/test_long_steps.py
@@ -1,10 +1,93 @@
 """Work for one peer's bytes, other than clients' requests, lets the event loop serve the others."""
 
+import json
+import random
+import re
 import struct
 
 import pytest
+import trio
+import trio.testing
 
-from mothnotch.node import frames
+from mothnotch.net import TimeSlice
+from mothnotch.node import discovery, frames, listing
+from tests.support.platform_rig import on_real_sockets, rig, wait_until
+
+# The regular expression by which brackets were counted before, strings being skipped.
+STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"?|[{}\[\]]')
+BRACKETS = {b"{": 1, b"[": 1, b"}": -1, b"]": -1}
+
+
+class PassCounter(trio.abc.Instrument):
+    """Counts the passes of the event loop."""
+
+    def __init__(self):
+        self.passes = 0
+
+    def after_io_wait(self, timeout):
+        self.passes += 1
+
+
+def test_a_time_slice_lets_others_run_once_its_time_is_used_up():
+    async def main():
+        time_slice, counter = TimeSlice(0.01), PassCounter()
+        trio.lowlevel.add_instrument(counter)
+        await time_slice.yield_if_over()
+        assert counter.passes == 0
+        clock.jump(0.01)
+        await time_slice.yield_if_over()
+        assert counter.passes == 1
+        clock.jump(0.01)
+        time_slice.restart()
+        await time_slice.yield_if_over()
+        assert counter.passes == 1
+
+    clock = trio.testing.MockClock()
+    trio.run(main, clock=clock)
+
+
+def test_brackets_of_a_list_are_counted_outside_of_strings():
+    """Guards against a list that is cut or never ends, as strings are skipped in another way."""
+    rng = random.Random(1)
+    for _ in range(3000):
+        line = bytes(rng.choice(b'{}[]"\\ax') for _ in range(rng.randrange(30)))
+        expected = sum(BRACKETS.get(token, 0) for token in STRING_OR_BRACKET.findall(line))
+        assert listing._opened_brackets(line) == expected, line
+
+
+def test_a_list_in_small_pieces_is_searched_once():
+    """Guards against work that grows with the square of a list's length (discovery's input)."""
+
+    class CountingBuffer(bytearray):
+        searched_bytes = 0
+
+        def find(self, text, start=0):
+            self.searched_bytes += len(self) - start
+            return super().find(text, start)
+
+    text = json.dumps({"rev": 1, "all": True, "targets": []}).encode() + b" " * 20_000 + b"\n"
+    reader = listing.ListingReader(1 << 20)
+    reader.buffered = CountingBuffer()
+    found = [message for at in range(len(text)) for message in reader.feed(text[at : at + 1])]
+    assert len(found) == 1
+    assert reader.buffered.searched_bytes <= 2 * len(text)
+
+
+@on_real_sockets
+async def test_a_list_in_small_chunks_lets_others_run():
+    """Guards against a watch whose list, in chunks of one byte, is read in one go."""
+    limit_s, discovery.INPUT_PASS_S = getattr(discovery, "INPUT_PASS_S", None), 0.0
+    try:
+        async with rig() as r:
+            text = json.dumps({"rev": 41, "all": False, "targets": []}).encode() + b"\n"
+            data = b"".join(b"1\r\n%b\r\n" % text[at : at + 1] for at in range(len(text)))
+            counter = PassCounter()
+            trio.lowlevel.add_instrument(counter)
+            await r.first_watch.stream.send_all(data)
+            await wait_until(lambda: r.root.watch.endpoints.version == 41)
+            assert counter.passes >= len(text)
+    finally:
+        discovery.INPUT_PASS_S = limit_s
 
 
 @pytest.mark.parametrize("expected", [0, 1, 3])
