SQL root: a client's messages and statements let other sessions run

A session let others run only after Sync and Query: messages without a Sync, messages skipped after an error and the statements of one query text were handled in one go, and a query text was tokenized in the event loop (0.11 s for 64 KiB, 1.9 s for 1 MiB).

Each event and each statement of a query may end the session's time slice (INPUT_PASS_S), at most 256 messages are skipped at once, and a long text is split in a thread, as it is planned in one.

Four tests of test_long_steps failed before: messages without a Sync, messages skipped after an error, many statements of one query, a long text that is split in a thread.

--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -9,8 +9,9 @@
 
 import trio
 
+from mothnotch.decisions.client_input import INPUT_PASS_S
 from mothnotch.fronts.session import REPORTED_SETTINGS, RowStream, Session, duration_ms
-from mothnotch.net import close_now, serve
+from mothnotch.net import TimeSlice, close_now, serve
 from mothnotch.pgwire import auth
 from mothnotch.pgwire import backend as b
 from mothnotch.pgwire import server as wire
@@ -54,6 +55,7 @@
         self.session, self.disconnected = None, False
         self.statements, self.portals = OrderedDict(), {}
         self.output = bytearray()
+        self.time_slice = TimeSlice(INPUT_PASS_S)
 
     # ---- bytes ----
 
@@ -328,7 +330,7 @@
                     unsupported("the function call protocol", "call it in a SELECT"), False
                 )
                 self.output += self.ready_for_query()
-            elif kind is not wire.CopyData:
+            elif kind not in (wire.CopyData, wire.Skipped):
                 try:
                     await handlers[kind](event)
                 except (
@@ -355,26 +357,32 @@
                         self.output += self.ready_for_query()
             if len(self.output) > FLUSH_BYTES:
                 await self.flush()
+            # Statements that need no leaf do not wait: a pipeline of them, or of other messages,
+            # must not block all other clients.
             if kind is wire.Sync or kind is wire.Query:
-                # Statements that need no leaf do not wait: a pipeline of them must not block all
-                # other clients.
                 await trio.lowlevel.checkpoint()
+                self.time_slice.restart()
+            else:
+                await self.time_slice.yield_if_over()
 
     def ready_for_query(self):
         return b.READY[self.session.transaction.status.value]
 
     async def on_query(self, event):
         self.session.on_sync()
-        statement_texts = self.frontend.service.planner.split(event.sql)
+        statement_texts = await self.split(event.sql)
         if not statement_texts:
             self.output += b.EMPTY_QUERY
         # All are planned before the first is executed: if one is invalid, none may take effect.
-        plans = [
-            await self.make_plan(self.frontend.service.planner.plan_text, statement_text)
-            for statement_text in statement_texts
-        ]
+        plans = []
+        for statement_text in statement_texts:
+            await self.time_slice.yield_if_over()
+            plans.append(
+                await self.make_plan(self.frontend.service.planner.plan_text, statement_text)
+            )
         self.check_multi_statement_writes([plan for plan, _ in plans])
         for plan, values in plans:
+            await self.time_slice.yield_if_over()
             if len(plan.oids) != len(values):
                 raise SqlError("42P02", "there is no parameter $1")
             result = await self.session.execute(plan, values)
@@ -392,6 +400,13 @@
         self.session.on_sync()
         self.output += self.ready_for_query()
 
+    async def split(self, text):
+        """Return the texts of the statements of a query; a long one is split in a thread."""
+        planner = self.frontend.service.planner
+        if planner.is_cheap_to_plan(text):
+            return planner.split(text)
+        return await self.frontend.network.run_in_thread(planner.split, text)
+
     async def make_plan(self, plan, text, *declared):
         """Return the plan of a statement.
 
@@ -468,7 +483,7 @@
         return sent
 
     async def on_parse(self, event):
-        statement_texts = self.frontend.service.planner.split(event.sql)
+        statement_texts = await self.split(event.sql)
         if len(statement_texts) > 1:
             raise SqlError("42601", "cannot insert multiple commands into a prepared statement")
         if event.name and event.name in self.statements:
--- a/mothnotch/pgwire/server.py
+++ b/mothnotch/pgwire/server.py
@@ -117,11 +117,18 @@
     """CopyData, CopyDone or CopyFail; ignored outside of a COPY, as in PostgreSQL."""
 
 
+@dataclass(slots=True, frozen=True)
+class Skipped:
+    """MAX_SKIPPED_MESSAGES were skipped after an error; more may follow up to the next Sync."""
+
+
 @dataclass(slots=True, frozen=True)
 class Terminate:
     pass
 
 
+# Maximum number of messages that are skipped at once, so that the caller can let others run.
+MAX_SKIPPED_MESSAGES = 256
 EXTENDED = (Parse, Bind, Describe, Execute, Close, Flush)
 
 
@@ -222,7 +229,7 @@
 
         Raise ProtocolError if the client violated the protocol; the connection must be closed then.
         """
-        while True:
+        for _ in range(MAX_SKIPPED_MESSAGES):
             message = self.framer.next()
             if message is None:
                 return None
@@ -247,6 +254,7 @@
             elif type(event) is Terminate:
                 self.state = "closed"
             return event
+        return Skipped()
 
     def _startup(self, body):
         r = Reader(body, "startup packet")
--- a/tests/test_long_steps.py
+++ b/tests/test_long_steps.py
@@ -9,10 +9,14 @@
 import trio
 import trio.testing
 
+from mothnotch.fronts import pg
 from mothnotch.net import TimeSlice
 from mothnotch.node import discovery, frames, listing
+from mothnotch.pgwire import client as wire
 from tests.support.platform_rig import on_real_sockets, rig, wait_until
+from tests.support.virtual_clock import run_in_world
 
+MESSAGES = 600
 # The regular expression by which brackets were counted before, strings being skipped.
 STRING_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"?|[{}\[\]]')
 BRACKETS = {b"{": 1, b"[": 1, b"}": -1, b"]": -1}
@@ -97,3 +101,57 @@
     received, error = frames.FrameReader().feed(frame * 6553, max_frames=expected)
     assert isinstance(error, frames.FrameError)
     assert len(received) == max(1, expected)
+
+
+def run_in_sql_root(monkeypatch, data, last):
+    """Send `data` to a SQL root; return the passes until it has answered the Sync behind it."""
+    monkeypatch.setattr(pg, "INPUT_PASS_S", 0.0, raising=False)
+    counter = PassCounter()
+
+    async def test(world):
+        client = await world.client()
+        trio.lowlevel.add_instrument(counter)
+        await client.send(data + last)
+        await client.read_reply()
+        trio.lowlevel.remove_instrument(counter)
+
+    run_in_world(test)
+    return counter.passes
+
+
+def test_many_messages_without_a_sync_let_others_run(monkeypatch):
+    """Guards against a SQL client whose pipeline without a Sync holds up the others."""
+    assert run_in_sql_root(monkeypatch, wire.FLUSH * MESSAGES, wire.SYNC) >= MESSAGES
+
+
+def test_messages_that_are_skipped_after_an_error_let_others_run(monkeypatch):
+    """Guards against a SQL client whose messages behind an error are all skipped in one go."""
+    messages = 20 * 256
+    data = wire.execute("nope") + wire.FLUSH * messages
+    assert run_in_sql_root(monkeypatch, data, wire.SYNC) >= messages // 256
+
+
+def test_many_statements_of_one_query_let_others_run(monkeypatch):
+    """Guards against a SQL client whose query of many short statements holds up the others."""
+    data = wire.message(b"Q", b"SELECT 1;" * MESSAGES + b"\0")
+    assert run_in_sql_root(monkeypatch, data, b"") >= MESSAGES
+
+
+def test_a_long_query_text_is_split_in_a_thread():
+    """Guards against a SQL client whose query of many statements is tokenized in the event loop."""
+
+    async def test(world):
+        in_thread = []
+
+        async def run_in_thread(function, *args):
+            in_thread.append(function.__name__)
+            return function(*args)
+
+        world.network.run_in_thread = run_in_thread
+        client = await world.client()
+        assert (await client.query("SELECT 1;" * 10)).error is None
+        assert "split" not in in_thread
+        assert (await client.query("SELECT 1;" * 100)).error is None
+        assert "split" in in_thread
+
+    run_in_world(test)
