--- a/mothnotch/soak/client.py
+++ b/mothnotch/soak/client.py
@@ -6,6 +6,7 @@
 it again, stop in the middle of a request, or send malformed data.
 """
 
+import functools
 import itertools
 import json
 import random
@@ -27,9 +28,23 @@
 )
 IDLE_RECONNECT_DELAY_S = (2.0, 4.0)  # range of the delay after an idle connection was closed
 PATIENT_TIMEOUT_S = 6.0  # timeout of requests that outlast the shutdown of a root
+PADDING_BYTES = 63_000  # of a large body; a body has 64 KiB at most
+CHUNKED_PAUSE_S = 0.05  # pause after each answer to such a request
 ANSWER_GRACE_S = 1.2  # after the request's timeout, an answer is still awaited for this long
 
 
+def encode_chunks(data, chunk_bytes):
+    """Return the data in chunks of one size, without the last chunk."""
+    chunks = [data[at : at + chunk_bytes] for at in range(0, len(data), chunk_bytes)]
+    return b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+
+
+@functools.cache
+def encode_padding(chunk_bytes):
+    """Return the white space of a large body in chunks; encoding it takes long."""
+    return encode_chunks(b" " * PADDING_BYTES, chunk_bytes)
+
+
 class Request:
     """A request of a client and its encoding."""
 
@@ -38,7 +53,16 @@
 
     @property
     def data(self):
-        body = json.dumps(
+        body = self._body()
+        return self._head(f"Content-Length: {len(body)}") + body
+
+    def chunked_data(self, chunk_bytes):
+        """Return the request with a large body, by white space, in chunks of one size."""
+        body = encode_chunks(self._body(), chunk_bytes) + encode_padding(chunk_bytes)
+        return self._head("Transfer-Encoding: chunked") + body + b"0\r\n\r\n"
+
+    def _body(self):
+        return json.dumps(
             {
                 "ranges": [
                     {"range": s, "portion": 1 / len(self.shards), "price": 20000.0}
@@ -47,6 +71,8 @@
                 "predicate": f"q{self.rid}",
             }
         ).encode()
+
+    def _head(self, framing):
         header_lines = [
             "POST /api?sid=%s HTTP/1.1" % self.rid[-2:],
             "Host: a",
@@ -54,11 +80,11 @@
             f"X-Priority-Class: {self.class_name}",
             f"X-Tenant-Id: {TENANT}",
             f"X-Timeout-Ms: {int(self.timeout_s * 1000)}",
-            f"Content-Length: {len(body)}",
+            framing,
         ]
         if self.class_name == "hold":
             header_lines.append(f"Idempotency-Key: k{self.rid}")
-        return "\r\n".join([*header_lines, "", ""]).encode() + body
+        return "\r\n".join([*header_lines, "", ""]).encode()
 
 
 class Connection:
@@ -111,6 +137,7 @@
         )
         self.request_numbers, self.connection_numbers = itertools.count(), itertools.count()
         self.nursery, self.idle = None, options["idle"]
+        self.chunked_load = options["chunked_load"]
 
     async def run(self):
         async with trio.open_nursery() as self.nursery:
@@ -133,6 +160,9 @@
             behaviours += [self.idle_until_closed] * self.idle
             for behaviour in behaviours:
                 self.nursery.start_soon(self.repeat, behaviour)
+            if self.chunked_load is not None:
+                for _ in range(self.chunked_load["clients"]):
+                    self.nursery.start_soon(self.send_in_chunks)
 
     async def repeat(self, behaviour):
         while now() < self.end_time:
@@ -181,10 +211,16 @@
 
     async def receive_answer(self, request, connection):
         """Receive and record an answer; return whether the connection can be reused."""
+        return self.record_result(request, await self.await_result(request, connection))
+
+    async def await_result(self, request, connection):
+        """Return what the client gets: an answer, or how the wait for it ended."""
         with trio.move_on_after(request.timeout_s + ANSWER_GRACE_S) as scope:
             result = await connection.read_answer()
-        if scope.cancelled_caught:
-            result = "nothing"
+        return "nothing" if scope.cancelled_caught else result
+
+    def record_result(self, request, result):
+        """Record the result of a request; return whether the connection can be reused."""
         if isinstance(result, str):
             self.event_log.write("outcome", rid=request.rid, how=result)
             return False
@@ -292,6 +328,42 @@
         await self.receive_answer(request, connection)
         await trio.aclose_forcefully(connection.stream)
 
+    async def send_in_chunks(self):
+        """Send large bodies in small chunks for the time of the drawn load."""
+        load = self.chunked_load
+        await trio.sleep(max(0, load["begin"] - now()))
+        while now() < min(load["end"], self.end_time):
+            try:
+                await self.exchange_in_chunks(load["chunk_bytes"])
+            except OSError:
+                await trio.sleep(0.1)  # nothing listens: the root is being restarted
+            await trio.sleep(CHUNKED_PAUSE_S)
+
+    async def exchange_in_chunks(self, chunk_bytes):
+        """Send a large body in small chunks; the request counts from its last byte."""
+        connection, request = await self.connect(), self.request()
+        request.timeout_s = self.deadline_s
+        recorded = False
+
+        async def send():
+            nonlocal recorded
+            await connection.stream.send_all(data)
+            if not recorded:
+                recorded = True
+                self.record_request(request, connection, "in chunks")
+
+        data = request.chunked_data(chunk_bytes)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.ignore_broken_stream, send)
+            result = await self.await_result(request, connection)
+            if not recorded:
+                # Answered before its last byte was written.
+                recorded = True
+                self.record_request(request, connection, "in chunks")
+            self.record_result(request, result)
+            nursery.cancel_scope.cancel()
+        await trio.aclose_forcefully(connection.stream)
+
     async def leaving(self):
         connection, request = await self.connect(), self.request()
         await connection.stream.send_all(request.data)
--- a/mothnotch/soak/plan.py
+++ b/mothnotch/soak/plan.py
@@ -14,6 +14,7 @@
 # before SIGKILL follows.
 KILL_DELAY_S = 0.7
 KILL_DEADLINE_MAX_S = 3.0
+CHUNKED_LOAD_S = 3.0  # for this long, clients send bodies in small chunks
 HANG_AFTER_KILL_S = 0.2  # leaves that hang through a shutdown still do so after a kill
 
 
@@ -115,6 +116,32 @@
     ]
 
 
+@dataclass(frozen=True)
+class ChunkedLoad:
+    """Clients of one root whose bodies come in small chunks, for a part of a soak."""
+
+    root: int
+    clients: int
+    chunk_bytes: int
+    begin_s: float
+    end_s: float
+
+
+def draw_chunked_load(random, deployment, length_s):
+    """Return the clients whose bodies come in small chunks.
+
+    Drawn by a generator of their own, as above.
+    """
+    begin_s = random.uniform(WARM_UP_S, max(WARM_UP_S, length_s - COOL_DOWN_S - CHUNKED_LOAD_S))
+    return ChunkedLoad(
+        draw_root(random, deployment),
+        random.choice((12, 24)),
+        random.choice((1, 4, 16)),
+        begin_s,
+        begin_s + CHUNKED_LOAD_S,
+    )
+
+
 def kill_delay_s(deployment):
     """Return the time after SIGTERM after which a root is killed."""
     return min(deployment.deadline_s, KILL_DEADLINE_MAX_S) + KILL_DELAY_S
--- a/mothnotch/soak/run.py
+++ b/mothnotch/soak/run.py
@@ -48,6 +48,9 @@
             ),
             key=lambda fault: fault.at_s,
         )
+        self.chunked_load = plan.draw_chunked_load(
+            random.Random(f"chunked load {seed}"), self.deployment, length_s
+        )
         self.event_log = records.EventLog(folder, "soak")
         self.fault_injector = FaultInjector(self)
         deployment = self.deployment
@@ -190,6 +193,18 @@
                 self.machine_stall_s += stall_s
                 self.event_log.write("machine stood still", s=stall_s)
 
+    def chunked_load_options(self, number, began):
+        """Return the chunked load for the clients of a root, None if another root has it."""
+        load = self.chunked_load
+        if number != load.root:
+            return None
+        return {
+            "clients": load.clients,
+            "chunk_bytes": load.chunk_bytes,
+            "begin": began + load.begin_s,
+            "end": began + load.end_s,
+        }
+
     async def run_with_faults(self):
         began = records.now()
         clients = [
@@ -207,6 +222,7 @@
                     "idle": self.deployment.sockets // (2 * CLIENTS_PER_ROOT)
                     if self.deployment.crowd
                     else 0,
+                    "chunked_load": self.chunked_load_options(number, began) if n == 0 else None,
                 },
                 self.helper_log,
             )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,9 +7,10 @@
 import random
 import sys
 
+import h11
 import pytest
 
-from mothnotch.soak import judge, plan, run, settings, shim
+from mothnotch.soak import client, judge, plan, run, settings, shim
 
 DEPLOYMENT = settings.Deployment(
     roots=2,
@@ -443,6 +444,37 @@
         }
 
 
+def test_each_soak_draws_bodies_in_small_chunks():
+    """Guards against a soak that cannot show a root which is held up by the form of some clients'
+    bytes, as no client sends bodies in small chunks.
+    """
+    loads = [
+        plan.draw_chunked_load(random.Random(seed), DEPLOYMENT, length_s)
+        for seed in range(20)
+        for length_s in (10.0, 14.0)
+    ]
+    assert {load.chunk_bytes for load in loads} == {1, 4, 16}
+    assert {load.clients for load in loads} == {12, 24}
+    assert all(load.root < DEPLOYMENT.roots for load in loads)
+    assert all(load.begin_s >= plan.WARM_UP_S for load in loads)
+    assert all(load.end_s <= 14.0 - plan.COOL_DOWN_S for load in loads)
+
+
+def test_requests_in_chunks_have_the_body_of_the_same_request_and_at_most_64_kib():
+    """Guards against a soak whose chunked requests are refused, and so show nothing."""
+    request = client.Request("r0.c00.1", "hold", [1, 2], 1.5)
+    for chunk_bytes in (1, 4, 16):
+        http = h11.Connection(h11.SERVER)
+        http.receive_data(request.chunked_data(chunk_bytes))
+        head, body = http.next_event(), b""
+        while isinstance(event := http.next_event(), h11.Data):
+            body += event.data
+        assert isinstance(event, h11.EndOfMessage)
+        assert (b"x-request-id", b"r0.c00.1") in list(head.headers)
+        assert len(body) <= 1 << 16
+        assert request.data.endswith(body.rstrip())
+
+
 def test_deployments_differ_by_seed_and_have_valid_settings():
     from mothnotch.decisions.settings import parse_settings
 
