Clients' input: a request that waits for its quantum keeps its connection open

A connection whose pipelined request was read and waits for its quantum counted as idle, so that a shutdown or the limit of clients could close it without an answer; and a reset within a large body was logged as an unexpected error, as the read for the rest of the body did not expect it.

A queued client is not idle. A lost connection is treated as in every other read.

test_a_connection_whose_pipelined_request_waits_is_not_idle and test_a_client_that_resets_its_connection_within_a_large_body_has_left failed before.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -86,7 +86,9 @@
     @property
     def is_idle(self) -> bool:
         """Return whether it is between requests, with no byte of a next one read."""
-        return self.lingering or (self.query is None and not self.partial and not self.unsent)
+        if self.lingering:
+            return True
+        return self.query is None and not (self.partial or self.is_queued or self.unsent)
 
     @property
     def is_behind(self) -> bool:
@@ -169,7 +171,10 @@
         """Read more of a request without waiting, so that the connection keeps its turn; return
         whether there was any.
         """
-        data = self.network.receive_now(self.stream, READ_BYTES)
+        try:
+            data = self.network.receive_now(self.stream, READ_BYTES)
+        except CONNECTION_LOST_ERRORS:
+            data = b""
         if data is None:
             return False
         if not data:
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -134,7 +134,7 @@
             if not self.context.core.end_open_queries():
                 break
         for client in list(self.connections.clients):
-            if client.partial and client.query is None:
+            if (client.partial or client.is_queued) and client.query is None:
                 self.connections.run_step(client, client.reject_unprocessed)
 
     def end_open_requests(self):
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -2,13 +2,21 @@
 
 import json
 import signal
+import socket
+import struct
 
 import pytest
 import trio
 
 from mothnotch.decisions.invariants import FINAL_ANSWER_SLACK_S
 from mothnotch.standins.platform import request
-from tests.support.platform_rig import Client, on_real_sockets, serve_connection
+from tests.support.platform_rig import (
+    Client,
+    on_real_sockets,
+    rig,
+    serve_connection,
+    wait_until,
+)
 from tests.support.root_process import root_process
 
 HEAVY_CLIENTS = 24
@@ -51,6 +59,16 @@
         nursery.start_soon(serve_connection, await leaf.accept_connection(), 0.02)
 
 
+class NoInputTime:
+    """Leaves no time for clients' input."""
+
+    def renew(self):
+        pass
+
+    def is_left(self, _now_s):
+        return False
+
+
 class Load:
     """Heavy clients of one root beside a usual one; `late` and `lost`: what broke the rule."""
 
@@ -142,6 +160,44 @@
     assert load.usual_count >= USUAL_REQUESTS
 
 
+@on_real_sockets
+async def test_a_connection_whose_pipelined_request_waits_is_not_idle():
+    """Guards against a close, as of an idle connection, over a request that was read and waits for
+    its quantum.
+    """
+    async with rig() as r:
+        home, client = r.home_leaf(0), r.client()
+        connections = r.root.frontend.connections
+        client.send_bytes(request("r1", "read", (0,)) + request("r2", "read", (0,)))
+        leaf = await home.accept_connection()
+        assert await leaf.read_call() == ["r1.0"]
+        (root_client,) = connections.clients
+        input_time, connections.scheduler._time = connections.scheduler._time, NoInputTime()
+        await leaf.answer_part("r1.0")
+        assert (await client.read_answer())[0] == 200
+        await wait_until(lambda: root_client.is_queued)
+        connections.close_idle()
+        assert not root_client.is_closed
+        connections.scheduler._time = input_time
+        assert await leaf.read_call() == ["r2.0"]
+        await leaf.answer_part("r2.0")
+        assert (await client.read_answer())[0] == 200
+
+
+@on_real_sockets
+async def test_a_client_that_resets_its_connection_within_a_large_body_has_left():
+    """Guards against a reset that counts as a defect of the root, as more was being read."""
+    async with rig() as r:
+        client = r.client()
+        data = chunked_request("r1", 1)
+        with trio.move_on_after(0.05):
+            await client.stream.send_all(data)
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        client.disconnect()
+        await wait_until(lambda: not r.root.frontend.connections.clients)
+        assert not [line for line in r.log.lines if line[0].startswith("unexpected")]
+
+
 @on_real_sockets
 async def test_requests_behind_much_input_are_answered_before_a_shutdown_ends(tmp_path):
     """Guards against a close without an answer for requests that a root could not process before
