Clients' input: the wait for the rest of a body counts against its timeout

A read for the rest of a body without waiting has no time stamp and was dated at the moment of the read; after more than 50 ms in the queue that counted as data that the client had written just now. It is dated as early as the read before it, so that it counts from the first of them.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -180,7 +180,8 @@
         if not data:
             self.connections.close(self, ClientCloseReason.LEFT)
             return False
-        self._receive(data, trio.current_time())
+        # When it arrived is not known: since the last read.
+        self._receive(data, self.last_read_s)
         return True
 
     def _may_process(self):
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -8,11 +8,12 @@
 import pytest
 import trio
 
-from mothnotch.decisions.invariants import FINAL_ANSWER_SLACK_S
+from mothnotch.decisions.invariants import DEADLINE_SLACK_S, FINAL_ANSWER_SLACK_S
 from mothnotch.standins.platform import request
 from tests.support.platform_rig import (
     Client,
     on_real_sockets,
+    parts_of_call,
     rig,
     serve_connection,
     wait_until,
@@ -30,6 +31,8 @@
 SOCKET_SLACK_S = 0.05
 RUN_S = 5.0
 SMALL_CHUNK_SIZES = (1, 4, 16)
+# With these, the buffers of the sockets hold a whole request.
+BUFFERED_CHUNK_SIZES = (4, 16)
 
 
 def chunked_request(request_id, chunk_bytes):
@@ -184,6 +187,28 @@
         assert (await client.read_answer())[0] == 200
 
 
+@on_real_sockets
+@pytest.mark.parametrize("size", BUFFERED_CHUNK_SIZES)
+async def test_the_wait_for_the_rest_of_a_body_counts_against_its_timeout(size):
+    """Guards against leaves that are given more time than the client has left, as a body was
+    written completely long before the root read its rest.
+    """
+    async with rig() as r:
+        home, client = r.home_leaf(0), r.client()
+        scheduler = r.root.frontend.connections.scheduler
+        input_time, scheduler._time = scheduler._time, NoInputTime()
+        await client.stream.send_all(chunked_request("r1", size))
+        written_s = trio.current_time()
+        await trio.sleep(0.4)
+        scheduler._time = input_time
+        leaf = await home.accept_connection()
+        frame_type, body = await leaf.read_frame()
+        assert frame_type == "m"
+        ((_, _, told_ms),) = parts_of_call(body)
+        left_ms = (written_s + HEAVY_TIMEOUT_S - trio.current_time()) * 1000
+        assert told_ms <= left_ms + DEADLINE_SLACK_S * 1000
+
+
 @on_real_sockets
 async def test_a_client_that_resets_its_connection_within_a_large_body_has_left():
     """Guards against a reset that counts as a defect of the root, as more was being read."""
