Clients' input: a client that is answered at once is not queued without input

After a request that is answered at once a quantum reported that more can be processed, although nothing was received. The client was queued behind the turns of the others, and a queued client is not read. A quantum goes on to the end of what was received instead, as before the scheduler.

test_a_client_that_is_answered_at_once_does_not_wait_for_the_input_of_others failed before.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -161,7 +161,8 @@
                     return True
             elif isinstance(event, h11.EndOfMessage):
                 self._on_request()
-                return self._may_process()
+                if self.reader.received:
+                    return self._may_process()
             else:  # NEED_DATA
                 self._on_need_data()
                 return self.had_full_read and self.partial and self._receive_rest()
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -72,6 +72,22 @@
         return False
 
 
+class TimeForOneQuantum:
+    """Leaves time for one quantum, never to be renewed."""
+
+    def __init__(self):
+        self.is_used = False
+
+    def renew(self):
+        pass
+
+    def is_left(self, _now_s):
+        return not self.is_used
+
+    def add(self, _start_s, _end_s):
+        self.is_used = True
+
+
 class Load:
     """Heavy clients of one root beside a usual one; `late` and `lost`: what broke the rule."""
 
@@ -209,6 +225,21 @@
         assert told_ms <= left_ms + DEADLINE_SLACK_S * 1000
 
 
+@on_real_sockets
+async def test_a_client_that_is_answered_at_once_does_not_wait_for_the_input_of_others():
+    """Guards against a kept connection whose next request is not read for seconds, as the client
+    was queued behind others without any input.
+    """
+    async with rig() as r:
+        client = r.client()
+        scheduler = r.root.frontend.connections.scheduler
+        scheduler._time = TimeForOneQuantum()
+        client.send_bytes(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await client.read_answer())[0] == 200
+        (root_client,) = r.root.frontend.connections.clients
+        assert not root_client.is_queued
+
+
 @on_real_sockets
 async def test_a_client_that_resets_its_connection_within_a_large_body_has_left():
     """Guards against a reset that counts as a defect of the root, as more was being read."""
