--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -9,6 +9,7 @@
 from mothnotch.decisions.client_input import INPUT_PASS_S, TURN_QUANTA, InputQueue
 from mothnotch.net import LoopMonitor
 from mothnotch.node.input_scheduler import InputScheduler
+from tests.support.pass_counter import PassCounter
 
 
 @dataclass(eq=False)
@@ -27,16 +28,6 @@
         self.is_queued = False
 
 
-class PassCounter(trio.abc.Instrument):
-    """Counts the passes of the event loop."""
-
-    def __init__(self):
-        self.passes = 0
-
-    def after_io_wait(self, timeout):
-        self.passes += 1
-
-
 class SchedulerWorld:
     """A scheduler whose quanta each take a time on a virtual clock."""
 
--- a/tests/test_long_steps.py
+++ b/tests/test_long_steps.py
@@ -13,6 +13,7 @@
 from mothnotch.net import TimeSlice
 from mothnotch.node import discovery, frames, listing
 from mothnotch.pgwire import client as wire
+from tests.support.pass_counter import PassCounter
 from tests.support.platform_rig import on_real_sockets, rig, wait_until
 from tests.support.virtual_clock import run_in_world
 
@@ -22,16 +23,6 @@
 BRACKETS = {b"{": 1, b"[": 1, b"}": -1, b"]": -1}
 
 
-class PassCounter(trio.abc.Instrument):
-    """Counts the passes of the event loop."""
-
-    def __init__(self):
-        self.passes = 0
-
-    def after_io_wait(self, timeout):
-        self.passes += 1
-
-
 def test_a_time_slice_lets_others_run_once_its_time_is_used_up():
     async def main():
         time_slice, counter = TimeSlice(0.01), PassCounter()
