Tests: requests in chunks are encoded before clients connect, and once

test_requests_behind_much_input_are_answered_before_a_shutdown_ends failed beside a load of 10 to 12 (4 of 4). Trace: it connected 60 clients, then encoded 60 bodies for 4.3 s; the root rightly closed the connections, which had been silent for over 2 s (slow 60, IDLE 60), before SIGTERM. Assertions stay.

A body is encoded once, by the soak's encode_chunks, as encoding held up the process that measures.

--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -1,5 +1,6 @@
 """One client's input, whatever its form, does not delay the answers that others are owed."""
 
+import functools
 import json
 import signal
 import socket
@@ -9,6 +10,7 @@
 import trio
 
 from mothnotch.decisions.invariants import DEADLINE_SLACK_S, FINAL_ANSWER_SLACK_S
+from mothnotch.soak.client import encode_chunks
 from mothnotch.standins.platform import request
 from tests.support.platform_rig import (
     Client,
@@ -35,15 +37,24 @@
 BUFFERED_CHUNK_SIZES = (4, 16)
 
 
-def chunked_request(request_id, chunk_bytes):
-    """Return a request whose body of nearly 64 KiB comes in chunks of one size."""
+@functools.cache
+def chunked_body(chunk_bytes):
+    """Return a body of nearly 64 KiB in chunks of one size; encoding it takes long."""
     ranges = [{"range": 0, "portion": 1.0}]
     body = json.dumps({"ranges": ranges, "predicate": "c" * 64_000}).encode()
-    chunks = [body[at : at + chunk_bytes] for at in range(0, len(body), chunk_bytes)]
-    data = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks) + b"0\r\n\r\n"
-    headers = ["Transfer-Encoding: chunked"]
-    timeout_ms = int(HEAVY_TIMEOUT_S * 1000)
-    return request(request_id, "read", (0,), timeout_ms=timeout_ms, headers=headers, body=data)
+    return encode_chunks(body, chunk_bytes) + b"0\r\n\r\n"
+
+
+def chunked_request(request_id, chunk_bytes):
+    """Return a request whose body of nearly 64 KiB comes in chunks of one size."""
+    return request(
+        request_id,
+        "read",
+        (0,),
+        timeout_ms=int(HEAVY_TIMEOUT_S * 1000),
+        headers=["Transfer-Encoding: chunked"],
+        body=chunked_body(chunk_bytes),
+    )
 
 
 def many_small_requests(_request_id, _size):
@@ -262,7 +273,8 @@
     async with root_process(tmp_path, limits={"openCap": 400}) as root:
         for leaf in root.rig.leaves:
             root.rig.nursery.start_soon(serve_leaf, leaf, root.rig.nursery)
-        clients = [root.client() for _ in range(60)]
+        requests = [chunked_request(f"h{number}", 1) for number in range(60)]
+        clients = [root.client() for _ in requests]
         answers = []
 
         async def ask(client, data):
@@ -272,8 +284,8 @@
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
-            for number, client in enumerate(clients):
-                nursery.start_soon(ask, client, chunked_request(f"h{number}", 1))
+            for client, data in zip(clients, requests, strict=True):
+                nursery.start_soon(ask, client, data)
             await trio.sleep(0.3)
             root.send_signal(signal.SIGTERM)
         assert len(answers) == len(clients)
