Clients' input: a defect at one client ends its connection, not the root

Found on reading the change again; no caller saw it. run_step promises to raise nothing, but an error in the answer to invalid input escaped from it. Until the scheduler came, the client's own task contained that; the task that processes the queued input of all clients does not, so that the root ended.

run_step contains it itself, for all its callers. Answers to sound and invalid input are as before. test_a_defect_in_the_answer_to_invalid_input_fails_its_connection_only failed before (the root ended).

--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -50,17 +50,22 @@
         """Run a step of a client's protocol; invalid input ends the connection with an error.
         Return the step's result, None after an error.
 
-        It raises nothing: the caller may be another connection's task, the sweep or the core's
-        turn, which must continue.
+        It raises nothing: the caller may be another connection's task, the input scheduler, the
+        sweep or the core's turn, which must continue.
         """
+        try:
+            return self._run_valid_step(client, step, args)
+        except Exception as error:
+            self.on_unexpected_error(client, error)
+        return None
+
+    def _run_valid_step(self, client, step, args):
         try:
             return step(*args)
         except requests.BadRequestError as error:
             client.fail(error.status, str(error))
         except h11.RemoteProtocolError as error:
             client.fail(error.error_status_hint, str(error))
-        except Exception as error:
-            self.on_unexpected_error(client, error)
         return None
 
     def _run_quantum(self, client):
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -251,6 +251,32 @@
         assert not root_client.is_queued
 
 
+@on_real_sockets
+async def test_a_defect_in_the_answer_to_invalid_input_fails_its_connection_only(monkeypatch):
+    """Guards against a defect at one client that ends the root, as the task that processes the
+    queued input of all clients is not protected from it.
+    """
+    async with rig() as r:
+        connections = r.root.frontend.connections
+
+        def fail(_client, _status, _text):
+            raise RuntimeError("a defect")
+
+        client = r.client()
+        await wait_until(lambda: connections.clients)
+        (root_client,) = connections.clients
+        input_time, connections.scheduler._time = connections.scheduler._time, NoInputTime()
+        client.send_bytes(b"GET / HTTP/9.9\r\n\r\n")
+        await wait_until(lambda: root_client.is_queued)
+        monkeypatch.setattr(type(root_client), "fail", fail)
+        connections.scheduler._time = input_time
+        await wait_until(lambda: root_client.is_closed)
+        monkeypatch.undo()
+        other = r.client()
+        other.send_bytes(b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await other.read_answer())[0] == 200
+
+
 @on_real_sockets
 async def test_a_client_that_resets_its_connection_within_a_large_body_has_left():
     """Guards against a reset that counts as a defect of the root, as more was being read."""
