--- a/mothnotch/net/__init__.py
+++ b/mothnotch/net/__init__.py
@@ -14,6 +14,7 @@
 from mothnotch.net.arrival_clock import ArrivalClock
 from mothnotch.net.datagrams import DatagramSocket
 from mothnotch.net.errors import CONNECTION_LOST_ERRORS, RETRY_PAUSE_S
+from mothnotch.net.loop_monitor import LoopMonitor
 from mothnotch.net.serving import serve
 from mothnotch.net.sockets import Listener, SocketNetwork, close_now
 
@@ -24,6 +25,7 @@
     "ArrivalClock",
     "DatagramSocket",
     "Listener",
+    "LoopMonitor",
     "SocketNetwork",
     "parse_address",
     "serve",
--- a/mothnotch/node/call_context.py
+++ b/mothnotch/node/call_context.py
@@ -4,6 +4,7 @@
 
 from mothnotch.decisions import connection_policy
 from mothnotch.decisions.invariants import Violations
+from mothnotch.net import LoopMonitor
 from mothnotch.root.trace import Trace
 
 
@@ -44,6 +45,7 @@
     hedging_allowed: bool
     violations: Violations
     trace: Trace
+    loop_monitor: LoopMonitor
     silence_detector: connection_policy.SilenceDetector = field(
         default_factory=connection_policy.SilenceDetector
     )
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -50,6 +50,7 @@
         It raises nothing: the caller may be another connection's task, the sweep or the core's
         turn, which must continue.
         """
+        started_s = trio.current_time()
         try:
             step(*args)
         except requests.BadRequestError as error:
@@ -58,6 +59,7 @@
             client.fail(error.error_status_hint, str(error))
         except Exception as error:
             self.on_unexpected_error(client, error)
+        self.context.loop_monitor.record("client input", trio.current_time() - started_s)
 
     def on_unexpected_error(self, client: ClientConnection, error: Exception):
         """End a connection after an unexpected error; its open request is answered with an error.
--- a/mothnotch/node/connection_pool.py
+++ b/mothnotch/node/connection_pool.py
@@ -13,7 +13,7 @@
 from mothnotch.decisions.interface import HealthCheckEnded, Result
 from mothnotch.decisions.invariants import Violations
 from mothnotch.leaves.timeouts import Timeouts
-from mothnotch.net import close_now
+from mothnotch.net import LoopMonitor, close_now
 from mothnotch.node import frames
 from mothnotch.node.answer_reader import AnswerReader
 from mothnotch.node.call_context import CallContext
@@ -59,6 +59,7 @@
             hedging_allowed,
             Violations(log.error),
             Trace(),
+            LoopMonitor(),
         )
         self.counts = self.context.counts
         self.max_connections = max_connections
@@ -73,10 +74,11 @@
         self.timeouts = Timeouts(self.cancellation.on_timeout)
         self.close_counts = dict.fromkeys(LeafCloseReason, 0)
 
-    def report_to(self, violations: Violations, trace: Trace):
-        """Report invariant violations and trace events to the core's recorders."""
+    def report_to(self, violations: Violations, trace: Trace, loop_monitor: LoopMonitor):
+        """Report invariant violations, trace events and step times to the core's recorders."""
         self.context.violations = violations
         self.context.trace = trace
+        self.context.loop_monitor = loop_monitor
 
     @property
     def open_count(self) -> int:
--- a/mothnotch/node/frontend_context.py
+++ b/mothnotch/node/frontend_context.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from mothnotch.decisions.resource_limits import ResourceLimits
+from mothnotch.net import LoopMonitor
 
 
 def _counts():
@@ -25,6 +26,7 @@
     resource_limits: ResourceLimits
     shard_count: int
     is_ready: Callable[[], bool]
+    loop_monitor: LoopMonitor
     stopping: bool = False
     answer_by_s: float = math.inf
     counts: dict[str, int] = field(default_factory=_counts)
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -13,6 +13,7 @@
     derive_limits,
 )
 from mothnotch.decisions.watch_policy import RELOAD_RETRY_S, RELOAD_TIMEOUT_S
+from mothnotch.net import LoopMonitor
 from mothnotch.node.config import Config, ConfigError, load
 from mothnotch.node.connection_pool import ConnectionPool
 from mothnotch.node.discovery import DiscoveryWatch
@@ -61,9 +62,17 @@
             (settings.limits.connect_timeout_us or DEFAULT_CONNECT_TIMEOUT_US) / 1e6,
             settings.limits.hedging,
         )
-        self.core = Core(settings, config.seed, self.pool, log, max_open=config.max_open)
+        self.loop_monitor = LoopMonitor(log.warning)
+        self.core = Core(
+            settings,
+            config.seed,
+            self.pool,
+            log,
+            max_open=config.max_open,
+            loop_monitor=self.loop_monitor,
+        )
         self.core.trace = Trace.from_environment()
-        self.pool.report_to(self.core.violations, self.core.trace)
+        self.pool.report_to(self.core.violations, self.core.trace, self.loop_monitor)
         self.watch = DiscoveryWatch(
             network, config.discovery, self.core, self.pool, log, Random(config.seed).random
         )
@@ -75,6 +84,7 @@
                 self.resource_limits,
                 config.shard_count,
                 self.watch.is_ready,
+                self.loop_monitor,
             )
         )
         self.addresses = []
@@ -82,6 +92,7 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Serve until cancelled or stopped; `task_status` is started once the root listens."""
+        trio.lowlevel.add_instrument(self.loop_monitor)
         async with trio.open_nursery() as self.nursery:
             await self.nursery.start(self.pool.run)
             await self.nursery.start(self.core.run)
@@ -101,7 +112,8 @@
                 queries=open_ids,
                 left_s=self.core.time_left_s(),
             )
-        self.log.info("stopped", **self.counts())
+        trio.lowlevel.remove_instrument(self.loop_monitor)
+        self.log.info("stopped", **self.counts(), **self.loop_monitor.summary())
 
     async def _listen(self):
         """Return listeners at the configured address. Retry while the previous process still uses
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -27,6 +27,7 @@
 )
 from mothnotch.decisions.outcomes import FinalStatus
 from mothnotch.decisions.retry_budget import RetryBudget
+from mothnotch.net.loop_monitor import LoopMonitor
 from mothnotch.root.actions import ActionHandlers
 from mothnotch.root.attempt import Attempt
 from mothnotch.root.clock import now_us
@@ -59,16 +60,19 @@
         max_queries: int = 10_000,
         row_storage=None,
         max_open: float = math.inf,
+        loop_monitor: LoopMonitor | None = None,
     ):
         """Assemble a core.
 
         `leaves.send(server, attempts)` sends attempts. `log` has structlog's methods.
         `row_storage` stores the rows of queries; None if the frontend's answers are not rows.
+        `loop_monitor` records how long the turns take.
         """
         self.settings = settings
         self.leaves = leaves
         self.log = log
         self.row_storage = row_storage
+        self.loop_monitor = loop_monitor or LoopMonitor()
         self.balancer = Balancer(settings, seed)
 
         self.request_table = RequestTable(max_queries, max_open)
