--- /dev/null
+++ b/review/lib2/bad_clients.py
@@ -0,0 +1,122 @@
+"""Bad clients, as a process of their own: `bad_clients.py KIND HOST:PORT COUNT SECONDS`.
+
+COUNT connections are kept up for SECONDS. Each sends what its kind says at full speed, reads what
+it is sent and, once the root has turned it away, does the same again on a new connection.
+
+chunk-line      a chunked body whose first chunk's line is blanks without end
+half-request    a request that stops in its head, and stays
+many-requests   several hundred sound requests at once
+long-head       a head of nearly 16 KiB in short lines, with no request id
+"""
+
+import json
+import selectors
+import socket
+import sys
+import time
+
+MANY_REQUESTS = 900
+READ_BYTES = 1 << 16
+SEND_BYTES = 1 << 18
+
+
+def chunk_line(number):
+    """Return a request whose chunk line does not end within 16 KB."""
+    head = (
+        f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: chunk{number}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    return head.encode() + b"1;" + b" " * 16_000
+
+
+def half_request(number):
+    """Return the first half of a request's head."""
+    return f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: half{number}".encode()
+
+
+def long_head(number):
+    """Return a request with a complete head of nearly 16 KiB, which names no request."""
+    return b"POST /api HTTP/1.1\r\nHost: api.internal\r\n" + b"a:\r\n" * 4080 + b"\r\n"
+
+
+def many_requests(number):
+    """Return several hundred requests of about 1.7 KB each."""
+    portion = 1 / 24
+    ranges = [
+        {"range": shard, "portion": portion, "price": 50000, "hash": "5be2a07c19f04d63"}
+        for shard in range(24)
+    ]
+    body = json.dumps({"ranges": ranges, "predicate": "c41e77d0"}).encode()
+    return b"".join(
+        f"POST /api?sid=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\n"
+        f"X-Request-ID: many{number}-{serial}\r\nX-Priority-Class: order-lookup\r\n"
+        f"X-Timeout-Ms: 2500\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+        + body
+        for serial in range(MANY_REQUESTS)
+    )
+
+
+KINDS = {
+    "chunk-line": chunk_line,
+    "half-request": half_request,
+    "many-requests": many_requests,
+    "long-head": long_head,
+}
+
+
+class BadClients:
+    """The connections of bad clients of one kind."""
+
+    def __init__(self, kind, address, count):
+        """Create clients that connect once run."""
+        host, port = address.split(":")
+        self.address = host, int(port)
+        self.payloads = [memoryview(KINDS[kind](number)) for number in range(count)]
+        self.selector = selectors.DefaultSelector()
+        self.turned_away = 0
+        self.to_start = list(range(count))
+
+    def run(self, until_s):
+        """Keep the connections up until a time of the monotonic clock."""
+        while time.monotonic() < until_s:
+            numbers, self.to_start = self.to_start, []
+            for number in numbers:
+                self._start(number)
+            for key, events in self.selector.select(0.05):
+                self._handle(key, events)
+
+    def _start(self, number):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.connect_ex(self.address)
+        state = [number, self.payloads[number]]
+        self.selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, state)
+
+    def _handle(self, key, events):
+        sock, state = key.fileobj, key.data
+        try:
+            if events & selectors.EVENT_READ and not sock.recv(READ_BYTES):
+                raise ConnectionError("closed")
+            if events & selectors.EVENT_WRITE:
+                state[1] = state[1][sock.send(state[1][:SEND_BYTES]) :]
+                if not state[1]:
+                    self.selector.modify(sock, selectors.EVENT_READ, state)
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.turned_away += 1
+            self.selector.unregister(sock)
+            sock.close()
+            self.to_start.append(state[0])
+
+
+def main():
+    """Run, and print how often clients were turned away."""
+    kind, address, count, seconds = sys.argv[1:]
+    clients = BadClients(kind, address, int(count))
+    clients.run(time.monotonic() + float(seconds))
+    print(clients.turned_away)
+
+
+if __name__ == "__main__":
+    main()
