Review: case 7, bad clients that send far ahead take the root over its memory limit

The stand-in of the platform kills a root whose own memory passes memory_mb. Seen: 19 MB before, over 192 MiB within 2 s of 300 clients with several hundred requests each. Nothing is fixed.

--- a/review/lib2/bad_clients.py
+++ b/review/lib2/bad_clients.py
@@ -9,13 +9,17 @@
 long-head       a head of nearly 16 KiB in short lines, with no request id
 """
 
+import functools
 import json
 import selectors
 import socket
 import sys
 import time
 
-MANY_REQUESTS = 900
+# Requests that a client sends at once: those of its own, and those behind them.
+FIRST_REQUESTS = 350
+MANY_REQUESTS = 600
+LONG_TEXT = "c41e77d0" * 1000
 READ_BYTES = 1 << 16
 SEND_BYTES = 1 << 18
 
@@ -26,34 +30,43 @@
         f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: chunk{number}\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     )
-    return head.encode() + b"1;" + b" " * 16_000
+    return (head.encode() + b"1;" + b" " * 16_000,)
 
 
 def half_request(number):
     """Return the first half of a request's head."""
-    return f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: half{number}".encode()
+    return (f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: half{number}".encode(),)
 
 
 def long_head(number):
-    """Return a request with a complete head of nearly 16 KiB, which names no request."""
-    return b"POST /api HTTP/1.1\r\nHost: api.internal\r\n" + b"a:\r\n" * 4080 + b"\r\n"
+    """Return a complete head of nearly 16 KiB, which names no request."""
+    return (b"POST /api HTTP/1.1\r\nHost: api.internal\r\n" + b"a:\r\n" * 4080 + b"\r\n",)
 
 
-def many_requests(number):
-    """Return several hundred requests of about 1.7 KB each."""
-    portion = 1 / 24
-    ranges = [
-        {"range": shard, "portion": portion, "price": 50000, "hash": "5be2a07c19f04d63"}
-        for shard in range(24)
-    ]
-    body = json.dumps({"ranges": ranges, "predicate": "c41e77d0"}).encode()
-    return b"".join(
+def sound_request(request_id, text):
+    """Return a request for one shard."""
+    ranges = [{"range": 3, "portion": 1}]
+    body = json.dumps({"ranges": ranges, "predicate": text}).encode()
+    head = (
         f"POST /api?sid=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: api.internal\r\n"
-        f"X-Request-ID: many{number}-{serial}\r\nX-Priority-Class: order-lookup\r\n"
-        f"X-Timeout-Ms: 2500\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-        + body
-        for serial in range(MANY_REQUESTS)
+        f"X-Request-ID: {request_id}\r\nX-Priority-Class: order-lookup\r\n"
+        f"X-Timeout-Ms: 2500\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def many_requests(number):
+    """Return several hundred requests; beyond the first, clients have the same in memory."""
+    first = b"".join(
+        sound_request(f"many{number}-{serial}", "c41e77d0") for serial in range(FIRST_REQUESTS)
     )
+    return first, later_requests()
+
+
+@functools.cache
+def later_requests():
+    """Return the requests behind each client's first."""
+    return b"".join(sound_request(f"later-{serial}", LONG_TEXT) for serial in range(MANY_REQUESTS))
 
 
 KINDS = {
@@ -71,7 +84,7 @@
         """Create clients that connect once run."""
         host, port = address.split(":")
         self.address = host, int(port)
-        self.payloads = [memoryview(KINDS[kind](number)) for number in range(count)]
+        self.payloads = [KINDS[kind](number) for number in range(count)]
         self.selector = selectors.DefaultSelector()
         self.turned_away = 0
         self.to_start = list(range(count))
@@ -89,7 +102,7 @@
         sock = socket.socket()
         sock.setblocking(False)
         sock.connect_ex(self.address)
-        state = [number, self.payloads[number]]
+        state = [number, [memoryview(piece) for piece in self.payloads[number]]]
         self.selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, state)
 
     def _handle(self, key, events):
@@ -98,8 +111,11 @@
             if events & selectors.EVENT_READ and not sock.recv(READ_BYTES):
                 raise ConnectionError("closed")
             if events & selectors.EVENT_WRITE:
-                state[1] = state[1][sock.send(state[1][:SEND_BYTES]) :]
-                if not state[1]:
+                pieces = state[1]
+                pieces[0] = pieces[0][sock.send(pieces[0][:SEND_BYTES]) :]
+                if not pieces[0]:
+                    del pieces[0]
+                if not pieces:
                     self.selector.modify(sock, selectors.EVENT_READ, state)
         except BlockingIOError:
             pass
