--- a/review/lib2/bad_clients.py
+++ b/review/lib2/bad_clients.py
@@ -19,9 +19,9 @@
 # Requests that a client sends at once: those of its own, and those behind them.
 FIRST_REQUESTS = 350
 MANY_REQUESTS = 600
-LONG_TEXT = "c41e77d0" * 1000
+LONG_TEXT = "c41e77d0" * 7500
 READ_BYTES = 1 << 16
-SEND_BYTES = 1 << 18
+SEND_BYTES = 1 << 20
 
 
 def chunk_line(number):
