--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -221,10 +221,12 @@
     def _receive_call(self, writer, rest, first_s, running):
         while rest:
             line, _, rest = rest.partition(b"\n")
-            wire_id, shard, _options, length = line.decode().split(" ")
+            wire_id, shard, options, length = line.decode().split(" ")
             text, rest = rest[: int(length)].decode(), rest[int(length) :]
             self.arrivals.append((first_s, time.monotonic(), wire_id, int(shard)))
-            self.record.add("leaf-part", leaf=self.uid, part=wire_id, draining=self.draining)
+            self.record.add(
+                "leaf-part", leaf=self.uid, part=wire_id, told=options, draining=self.draining
+            )
             if self.draining:
                 self._answer(writer, wire_id, "later", "")
             else:
