--- a/review/lib2/bad_clients.py
+++ b/review/lib2/bad_clients.py
@@ -24,21 +24,21 @@
 SEND_BYTES = 1 << 20
 
 
-def chunk_line(number):
+def chunk_line(name):
     """Return a request whose chunk line does not end within 16 KB."""
     head = (
-        f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: chunk{number}\r\n"
+        f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: chunk{name}\r\n"
         "Transfer-Encoding: chunked\r\n\r\n"
     )
     return (head.encode() + b"1;" + b" " * 16_000,)
 
 
-def half_request(number):
+def half_request(name):
     """Return the first half of a request's head."""
-    return (f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: half{number}".encode(),)
+    return (f"POST /api HTTP/1.1\r\nHost: api.internal\r\nX-Request-ID: half{name}".encode(),)
 
 
-def long_head(number):
+def long_head(name):
     """Return a complete head of nearly 16 KiB, which names no request."""
     return (b"POST /api HTTP/1.1\r\nHost: api.internal\r\n" + b"a:\r\n" * 4080 + b"\r\n",)
 
@@ -55,10 +55,10 @@
     return head.encode() + body
 
 
-def many_requests(number):
-    """Return several hundred requests; beyond the first, clients have the same in memory."""
+def many_requests(name):
+    """Return several hundred requests; those behind the first are the same for all clients."""
     first = b"".join(
-        sound_request(f"many{number}-{serial}", "c41e77d0") for serial in range(FIRST_REQUESTS)
+        sound_request(f"many{name}-{serial}", "c41e77d0") for serial in range(FIRST_REQUESTS)
     )
     return first, later_requests()
 
@@ -69,11 +69,30 @@
     return b"".join(sound_request(f"later-{serial}", LONG_TEXT) for serial in range(MANY_REQUESTS))
 
 
+@functools.cache
+def small_chunks_body():
+    """Return a sound body of nearly 64 KiB in chunks of one byte."""
+    body = json.dumps({"ranges": [{"range": 3, "portion": 1}], "predicate": LONG_TEXT}).encode()
+    chunks = (b"1\r\n" + body[start : start + 1] + b"\r\n" for start in range(len(body)))
+    return b"".join(chunks) + b"0\r\n\r\n"
+
+
+def small_chunks(name):
+    """Return a sound request whose body comes in chunks of one byte."""
+    head = (
+        f"POST /api?sid={name} HTTP/1.1\r\nHost: api.internal\r\n"
+        f"X-Request-ID: small{name}\r\nX-Priority-Class: stock-search\r\n"
+        "X-Timeout-Ms: 3000\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    return head.encode(), small_chunks_body()
+
+
 KINDS = {
     "chunk-line": chunk_line,
     "half-request": half_request,
     "many-requests": many_requests,
     "long-head": long_head,
+    "small-chunks": small_chunks,
 }
 
 
@@ -84,7 +103,7 @@
         """Create clients that connect once run."""
         host, port = address.split(":")
         self.address = host, int(port)
-        self.payloads = [KINDS[kind](number) for number in range(count)]
+        self.payload = KINDS[kind]
         self.selector = selectors.DefaultSelector()
         self.turned_away = 0
         self.to_start = list(range(count))
@@ -102,7 +121,8 @@
         sock = socket.socket()
         sock.setblocking(False)
         sock.connect_ex(self.address)
-        state = [number, [memoryview(piece) for piece in self.payloads[number]]]
+        payload = self.payload(f"{number}-{self.turned_away}")  # a name that is used once
+        state = [number, [memoryview(piece) for piece in payload]]
         self.selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE, state)
 
     def _handle(self, key, events):
