Clients' input: a chunk line without end is scanned once, not once for each byte

Cause: two parts of CHUNK_LINE matched the same blanks, so that a match of n of them took n^2 steps, 0.108 s for 8 KiB, in which no socket was polled. Evidence: the new record of input steps by phase; the match measured alone. Change: no two parts of the expression match the same byte.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -90,6 +90,11 @@
             return True
         return self.query is None and not (self.partial or self.is_queued or self.unsent)
 
+    @property
+    def input_phase(self) -> str:
+        """Return what its next quantum begins with: "head", "chunks" or "body"."""
+        return self.reader.phase
+
     @property
     def is_behind(self) -> bool:
         """Return whether a request may have been written completely that the root has not processed
--- a/mothnotch/node/input_scheduler.py
+++ b/mothnotch/node/input_scheduler.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self, loop_monitor: LoopMonitor, run_quantum: Callable):
-        """`loop_monitor` records the quanta."""
+        """`loop_monitor` records the quanta, by the phase in which the client's input is."""
         self._loop_monitor = loop_monitor
         self._run_quantum = run_quantum
         self._queue = InputQueue()
@@ -67,9 +67,10 @@
             client.on_dequeued()
 
     def _measure_quantum(self, client):
+        kind = f"client {client.input_phase}"
         started_s = trio.current_time()
         recorded_from_s = perf_counter()
         has_more = self._run_quantum(client)
         self._time.add(started_s, trio.current_time())
-        self._loop_monitor.record("client input", recorded_from_s)
+        self._loop_monitor.record(kind, recorded_from_s)
         return has_more
--- a/mothnotch/node/request_reader.py
+++ b/mothnotch/node/request_reader.py
@@ -20,7 +20,8 @@
 # The least byte that may begin a request; TLS and other protocols begin with a smaller one.
 MIN_FIRST_BYTE = 0x21
 BLANK_LINE = re.compile(rb"\n\r?\n")
-CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})(?:;[^\n]*)?[ \t]*\r\n")
+# No two parts of it match the same byte, so that a line without end is scanned once.
+CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})(?:;[^\n]*\r\n|[ \t]*\r\n)")
 LINE_END = b"\r\n"
 
 
@@ -58,6 +59,13 @@
         self._searched_bytes = 0
         self._body_bytes = 0
 
+    @property
+    def phase(self) -> str:
+        """Return what is read next: "head", "chunks" or "body"."""
+        if not self.has_head:
+            return "head"
+        return "chunks" if self._is_chunked else "body"
+
     def next_event(self):
         """Return the next event: Request, Data or EndOfMessage of h11, or NEED_DATA.
 
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -20,6 +20,7 @@
     turn_quanta: int = 0
     is_queued: bool = False
     is_closed: bool = False
+    input_phase: str = "head"
 
     def on_queued(self):
         self.is_queued = True
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -1,11 +1,12 @@
 """The request reader returns what h11 returns, however the bytes are split, in bounded steps."""
 
 import random
+import time
 
 import h11
 import pytest
 
-from mothnotch.decisions.client_input import INPUT_QUANTUM_BYTES
+from mothnotch.decisions.client_input import INPUT_PASS_S, INPUT_QUANTUM_BYTES
 from mothnotch.node import requests
 from mothnotch.node.request_reader import MAX_CHUNK_LINE_BYTES, MAX_HEAD_BYTES, RequestReader
 
@@ -172,3 +173,30 @@
     with pytest.raises(requests.BadRequestError) as raised:
         read()
     assert raised.value.status == status
+
+
+ENDLESS_LINES = {
+    "blanks behind an extension": b"1;" + b" " * 16_000,
+    "blanks": b"1" + b" " * 16_000,
+    "an extension of line ends": b"1;" + b"\r" * 16_000,
+    "digits": b"1" * 16_000,
+    "zeros": b"0" * 16_000,
+    "the last chunk's extension": b"0;" + b" \t" * 8_000,
+}
+
+
+@pytest.mark.parametrize("line", ENDLESS_LINES.values(), ids=ENDLESS_LINES)
+def test_a_chunk_line_without_end_costs_no_more_than_a_pass(line):
+    """Guards against a line that is scanned once for each of its bytes, while all other clients
+    wait (review/6).
+    """
+    durations_s = []
+    for _ in range(5):
+        reader = RequestReader()
+        reader.received += CHUNKED_HEAD + line
+        assert isinstance(reader.next_event(), h11.Request)
+        started_s = time.perf_counter()
+        with pytest.raises(requests.BadRequestError):
+            reader.next_event()
+        durations_s.append(time.perf_counter() - started_s)
+    assert min(durations_s) < INPUT_PASS_S
