Clients' input: a head and trailers have a bounded number of lines, and little of a head is kept

Cause: heads were bounded in bytes, while time and memory go by the field: 3 us and 200 bytes each, kept until the body had come. Change: 128 lines at most (431); a parsed head is reduced to what the root uses.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -261,7 +261,7 @@
 
     def _on_head(self, head):
         """Begin a request whose head was read."""
-        self.head = head
+        self.head = requests.Head.from_event(head)
         if self.http.they_are_waiting_for_100_continue:
             self.send(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
 
--- a/mothnotch/node/request_reader.py
+++ b/mothnotch/node/request_reader.py
@@ -15,6 +15,9 @@
 
 # Maximum size of a head, and of the trailers of a chunked body; each is parsed in one step.
 MAX_HEAD_BYTES = 1 << 14
+# Maximum number of lines of a head, and of the trailers of a chunked body: parsing a line and
+# keeping its field cost the same however short it is.
+MAX_HEAD_LINES = 128
 # Maximum length of the line that precedes a chunk: size and extensions.
 MAX_CHUNK_LINE_BYTES = 1 << 12
 # The least byte that may begin a request; TLS and other protocols begin with a smaller one.
@@ -70,7 +73,7 @@
         """Return the next event: Request, Data or EndOfMessage of h11, or NEED_DATA.
 
         Raise BadRequestError or h11.RemoteProtocolError if the input is not valid. The work of a
-        call is bounded: it parses a head or trailers of MAX_HEAD_BYTES, copies what was received of
+        call is bounded: it parses a head or trailers of MAX_HEAD_LINES, copies what was received of
         a body with a length, or decodes INPUT_QUANTUM_BYTES of chunks.
         """
         if not self.has_head:
@@ -217,6 +220,8 @@
         end = len(self.received) if match is None else match.end()
         if end - start > MAX_HEAD_BYTES:
             raise BadRequestError(431, f"a head of more than {MAX_HEAD_BYTES} bytes")
+        if self.received.count(b"\n", start, end) > MAX_HEAD_LINES:
+            raise BadRequestError(431, f"a head of more than {MAX_HEAD_LINES} lines")
         if match is None:
             # The blank line may have begun with the last two bytes.
             self._searched_bytes = max(0, end - 2)
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -2,7 +2,9 @@
 
 import math
 import re
+from dataclasses import dataclass
 
+import h11
 import msgspec
 
 from mothnotch.decisions.interface import Idempotency
@@ -22,12 +24,12 @@
 # Maximum timeout of a request, as a multiple of the longest deadline of any class.
 MAX_TIMEOUT_MULTIPLE = 10
 KNOWN_HEADERS = (
-    "x-request-id",
-    "x-priority-class",
-    "x-tenant-id",
-    "x-timeout-ms",
-    "x-retried",
-    "idempotency-key",
+    b"x-request-id",
+    b"x-priority-class",
+    b"x-tenant-id",
+    b"x-timeout-ms",
+    b"x-retried",
+    b"idempotency-key",
 )
 
 
@@ -40,6 +42,24 @@
         self.status = status
 
 
+@dataclass(slots=True, frozen=True)
+class Head:
+    """What is kept of a request's head while its body is received.
+
+    `headers`: the pairs of name and value of those that the root knows.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    @classmethod
+    def from_event(cls, event: h11.Request) -> "Head":
+        """Keep what is needed of a head that was parsed."""
+        known = [(name, value) for name, value in event.headers if name in KNOWN_HEADERS]
+        return cls(event.method, event.target, tuple(known))
+
+
 class Range(msgspec.Struct):
     """A queried shard; `portion`: its share of the answer's value; `price`: its estimated cost."""
 
@@ -135,14 +155,12 @@
 
 
 def _known_headers(headers):
-    """Return the known headers as text. A header that is repeated with a different value is an
-    error.
-    """
+    """Return a head's headers as text. One that is repeated with a different value is an error."""
     values = {}
     for raw_name, raw_value in headers:
-        name = raw_name.decode("latin-1").lower()
+        name = raw_name.decode("latin-1")
         value = raw_value.decode("latin-1").strip()
-        if name in KNOWN_HEADERS and values.setdefault(name, value) != value:
+        if values.setdefault(name, value) != value:
             raise BadRequestError(400, f"{name} stands twice")
     return values
 
--- /dev/null
+++ b/tests/support/client_flood.py
@@ -0,0 +1,194 @@
+"""Bad clients beside usual ones, at a root under limits of memory and descriptors.
+
+The root, the leaves and the bad clients are processes; the usual clients run in the test's own.
+"""
+
+import json
+import pathlib
+import resource
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+
+from mothnotch.decisions.invariants import FINAL_ANSWER_SLACK_S
+from mothnotch.standins.platform import request
+from mothnotch.standins.platform_settings import CELLS
+from tests.support.platform_rig import Client
+from tests.support.root_process import REPOSITORY, root_process
+
+# Every time limit is this much longer on sockets.
+SOCKET_SLACK_S = 0.05
+USUAL_TIMEOUT_S = 1.5
+USUAL_INTERVAL_S = 0.1
+SAMPLE_INTERVAL_S = 0.02
+LEAF_WORK_S = 0.02
+# Limits of the platform: the least of memory that the project's roots get, and the descriptors.
+MEMORY_MB = 64
+SOCKETS = 1024
+FEW_SOCKETS = 256
+
+
+@dataclass
+class Flood:
+    """What was seen. `late` and `lost`: usual requests for which the rule was broken."""
+
+    slowest_s: float = 0.0
+    statuses: dict = field(default_factory=dict)
+    late: list = field(default_factory=list)
+    lost: list = field(default_factory=list)
+    most_memory_kb: int = 0
+    start_memory_kb: int = 0
+    crashed: bool = False
+    bad_clients: list = field(default_factory=list)
+    log: str = ""
+
+    @property
+    def kept_rules(self):
+        """Return whether no rule was broken and the root stayed up."""
+        return not (self.late or self.lost or self.crashed)
+
+    def record(self, name, answer, took_s, shut_out=False):
+        """Record the end of a usual request. `shut_out`: its connection was closed unread."""
+        status = "shut out" if shut_out else answer and answer[0]
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        self.slowest_s = max(self.slowest_s, took_s)
+        if answer is None and not shut_out:
+            self.lost.append((name, round(took_s, 3)))
+        elif took_s > USUAL_TIMEOUT_S + FINAL_ANSWER_SLACK_S + SOCKET_SLACK_S:
+            self.late.append((name, round(took_s, 3)))
+
+
+def memory_kb(pid):
+    """Return the process's resident memory, mapped files included; None if it has ended."""
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return None
+    sizes = [int(line.split()[1]) for line in lines if line.startswith("VmRSS:")]
+    return sizes[0] if sizes else None
+
+
+async def keep_to_memory(root, flood, memory_mb):
+    """Kill the root, as the platform does, once it uses more memory than its limit."""
+    while root.is_running():
+        size_kb = memory_kb(root.process.pid)
+        if size_kb is not None:
+            flood.start_memory_kb = flood.start_memory_kb or size_kb
+            flood.most_memory_kb = max(flood.most_memory_kb, size_kb)
+            if size_kb > memory_mb * 1024:
+                root.process.kill()
+                break
+        await trio.sleep(SAMPLE_INTERVAL_S)
+    flood.crashed = True
+
+
+async def ask(root, flood, name, may_be_shut_out):
+    """Ask once, on a connection of its own."""
+    try:
+        client = Client(root.address)
+    except OSError:
+        flood.lost.append((name, "not connected"))
+        return
+    try:
+        client.send_bytes(request(name, "read", (1,), timeout_ms=int(USUAL_TIMEOUT_S * 1000)))
+    except OSError:
+        flood.record(name, None, 0.0, shut_out=may_be_shut_out)
+        return
+    sent_s = trio.current_time()
+    answer = await client.read_answer()
+    took_s = trio.current_time() - sent_s
+    flood.record(name, answer, took_s, shut_out=answer is None and may_be_shut_out)
+    client.disconnect()
+
+
+async def ask_in_turn(root, flood, seconds, may_be_shut_out):
+    """Ask at an interval, whether or not earlier requests are answered, for a time."""
+    end_s = trio.current_time() + seconds
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end_s and root.is_running():
+            number += 1
+            nursery.start_soon(ask, root, flood, f"u{number}", may_be_shut_out)
+            await trio.sleep(USUAL_INTERVAL_S)
+
+
+@asynccontextmanager
+async def leaf_process(work_s=LEAF_WORK_S):
+    """Run the leaves; yield their addresses and the process."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "tests.support.leaf_process", str(work_s)],
+        cwd=REPOSITORY,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        yield json.loads(process.stdout.readline()), process
+    finally:
+        process.kill()
+        process.wait()
+
+
+def start_bad_clients(root, kind, count, seconds):
+    """Start bad clients, which end by themselves after that time."""
+    arguments = [kind, root.address, str(count), str(seconds)]
+    return subprocess.Popen(
+        [sys.executable, "-m", "mothnotch.soak.bad_clients", *arguments],
+        cwd=REPOSITORY,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+@asynccontextmanager
+async def limited_root(
+    tmp_path, memory_mb=MEMORY_MB, sockets=SOCKETS, work_s=LEAF_WORK_S, **changes
+):
+    """Run leaves and a root whose limits are told and enforced; yield root and leaf process."""
+    changes.setdefault("limits", {"openCap": 400})
+    async with leaf_process(work_s) as (addresses, leaves):
+        targets = [
+            {
+                "uid": f"s{number}",
+                "endpoint": address,
+                "az": "a",
+                "pod_group": number % CELLS,
+                "state": "Ready",
+                "boot_ms": 0,
+            }
+            for number, address in enumerate(addresses)
+        ]
+        async with root_process(
+            tmp_path, targets=targets, sockets=sockets, memory_mb=memory_mb, **changes
+        ) as root:
+            resource.prlimit(root.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
+            yield root, leaves
+
+
+async def run_flood(
+    tmp_path,
+    loads,
+    seconds=5.0,
+    memory_mb=MEMORY_MB,
+    sockets=SOCKETS,
+    may_be_shut_out=False,
+    **changes,
+):
+    """Run bad clients, `loads` of (kind, count), beside usual ones; return what was seen."""
+    flood = Flood()
+    async with limited_root(tmp_path, memory_mb, sockets, **changes) as (root, _):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_to_memory, root, flood, memory_mb)
+            await ask_in_turn(root, flood, 0.5, False)
+            processes = [start_bad_clients(root, kind, count, seconds) for kind, count in loads]
+            await trio.sleep(0.3)
+            await ask_in_turn(root, flood, seconds, may_be_shut_out)
+            for process in processes:
+                output = await trio.to_thread.run_sync(process.communicate)
+                flood.bad_clients.append(json.loads(output[0] or "{}"))
+            nursery.cancel_scope.cancel()
+        flood.log = root.read_log()
+    return flood
--- a/tests/support/platform_rig.py
+++ b/tests/support/platform_rig.py
@@ -238,7 +238,11 @@
                 "all": True,
                 "targets": [self.target(leaf) for leaf in self.leaves],
             },
-            "limits": {"cores": 1, "memory_mb": 64, "sockets": changes.pop("sockets", 256)},
+            "limits": {
+                "cores": 1,
+                "memory_mb": changes.pop("memory_mb", 64),
+                "sockets": changes.pop("sockets", 256),
+            },
             "settings": options(**changes),
         }
         self.config_values = config_values
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -8,7 +8,12 @@
 
 from mothnotch.decisions.client_input import INPUT_PASS_S, INPUT_QUANTUM_BYTES
 from mothnotch.node import requests
-from mothnotch.node.request_reader import MAX_CHUNK_LINE_BYTES, MAX_HEAD_BYTES, RequestReader
+from mothnotch.node.request_reader import (
+    MAX_CHUNK_LINE_BYTES,
+    MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
+    RequestReader,
+)
 
 SEEDS = range(30)
 CHUNK_SIZES = (1, 4, 16, 100, 9000, 1 << 16)
@@ -200,3 +205,22 @@
             reader.next_event()
         durations_s.append(time.perf_counter() - started_s)
     assert min(durations_s) < INPUT_PASS_S
+
+
+FIELDS = b"a:\r\n" * MAX_HEAD_LINES
+
+
+@pytest.mark.parametrize(
+    "data",
+    [HEAD + FIELDS + b"\r\n", CHUNKED_HEAD + b"0\r\n" + FIELDS + b"\r\n"],
+    ids=["head", "trailers"],
+)
+def test_a_head_and_trailers_of_too_many_lines_are_not_parsed(data):
+    """Guards against short fields, each of which costs as much time and memory as a long one."""
+    reader = RequestReader()
+    reader.received += data
+    if data.startswith(CHUNKED_HEAD):
+        assert isinstance(reader.next_event(), h11.Request)
+    with pytest.raises(requests.BadRequestError) as raised:
+        reader.next_event()
+    assert raised.value.status == 431
