Clients' input: a request that begins does not wait behind others' bodies, and is told in time unread

Cause: the queue took a client whose request had ended for one within a request; and a request had no deadline of its own before its head was parsed. Change: clients that begin a request are served in turn with one another; the timeout is looked for in the unread bytes; each request that was received whole and has waited for too long gets its own 503.

--- a/mothnotch/decisions/client_input.py
+++ b/mothnotch/decisions/client_input.py
@@ -22,6 +22,9 @@
 
 # Maximum size of one read while clients hold more than they may: most requests are shorter.
 SMALL_READ_BYTES = 2048
+# A request whose timeout is not known, as its head is unread, waits for no longer: with the time
+# until that is checked, no timeout is exceeded by more than half a second.
+UNREAD_HEAD_WAIT_S = 0.25
 # A client whose data comes this soon after a full read had written it before: the network held it
 # back until the root made room for it.
 REFILL_S = 0.05
@@ -95,11 +98,11 @@
 class InputQueue(Generic[WaitingClientT]):
     """The clients whose input waits, in the order in which they get their next quantum.
 
-    Clients that had no quantum since their input arrived, and those that had some, get quanta
-    alternately, so that neither many short requests nor a few long ones keep the others waiting.
-    Among those that had some, a turn lasts until the request is processed or TURN_QUANTA are used;
-    a client that had to wait for the rest of its request resumes its turn. Bound: each client is
-    queued at most once.
+    Clients at the beginning of a request, and those within one, get quanta alternately, so that
+    neither many short requests nor a few long ones keep the others waiting. Those at the beginning
+    are served in turn. Among those within a request, a turn lasts until the request is processed or
+    TURN_QUANTA are used; a client that had to wait for the rest of its request resumes its turn.
+    Bound: each client is queued at most once.
     """
 
     def __init__(self):
@@ -113,7 +116,7 @@
         return len(self._new) + len(self._resumed)
 
     def add(self, client: WaitingClientT, had_quantum: bool) -> None:
-        """Queue a client; `had_quantum`: some of its input has been processed already."""
+        """Queue a client; `had_quantum`: some of its request's input has been processed."""
         if 0 < client.turn_quanta < TURN_QUANTA:
             self._resumed.appendleft(client)
         elif had_quantum or client.turn_quanta:
@@ -166,10 +169,10 @@
     return since_read_s <= REFILL_S
 
 
-def unprocessed_deadline_s(first_byte_s: float, timeout_ms: int | None) -> float | None:
+def unprocessed_deadline_s(first_byte_s: float, timeout_ms: int | None) -> float:
     """Return when a request must be rejected that the root has not processed completely.
 
     `first_byte_s`: the earliest arrival of the input that waits; the client cannot have written the
-    request's last byte before. `timeout_ms`: its timeout, None if unknown; then None is returned.
+    request's last byte before. `timeout_ms`: its timeout; None if unknown, as its head is unread.
     """
-    return None if timeout_ms is None else first_byte_s + timeout_ms / 1000
+    return first_byte_s + (UNREAD_HEAD_WAIT_S if timeout_ms is None else timeout_ms / 1000)
--- a/mothnotch/node/arrival_times.py
+++ b/mothnotch/node/arrival_times.py
@@ -31,6 +31,10 @@
             first_s = self.reads.pop()[2]
         self.reads.append((self.total_bytes, last_s, first_s))
 
+    def oldest_s(self, consumed_bytes: int) -> float | None:
+        """Return the earliest arrival time of what follows `consumed_bytes`, None if nothing."""
+        return next((first_s for end, _, first_s in self.reads if end > consumed_bytes), None)
+
     def take_until(self, end_bytes: int) -> float | None:
         """Return the arrival time of the byte before `end_bytes`; forget the reads before its own.
 
--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -20,6 +20,8 @@
 # one byte is less.
 MAX_DISCARDED_BYTES = 1 << 19
 BUSY = requests.encode({"error": "busy; asking again is harmless"})
+# Maximum quanta in which the requests of one client are rejected that have waited for too long.
+MAX_REJECTING_QUANTA = 32
 JSON = "application/json"
 TEXT = "text/plain"
 
@@ -33,7 +35,8 @@
     received behind it. `partial_line`: the last of these from the last line feed on. `partial`:
     part of a next request was received. `is_queued`: received input waits to be processed, and no
     more is read. `is_all_read`: all that the client has sent was read when the current step began.
-    `closing`: the last answer was given; `lingering`: and it is written completely.
+    `is_rejecting`: requests are rejected, as they have waited for too long. `closing`: the last
+    answer was given; `lingering`: and it is written completely.
     """
 
     def __init__(self, connections, handler, nursery, stream):
@@ -60,6 +63,7 @@
         self.is_queued = False
         self.queued_at_s = 0.0
         self.is_all_read = False
+        self.is_rejecting = False
         self._reading_resumed = trio.Event()
         self.served = False
         self.closing = False
@@ -77,6 +81,11 @@
         """Return what its next quantum begins with: "head", "chunks" or "body"."""
         return self.reader.phase
 
+    @property
+    def is_within_request(self) -> bool:
+        """Return whether part of the current request was processed."""
+        return self.reader.has_head
+
     @property
     def is_behind(self) -> bool:
         """Return whether a request may have been written completely that the root has not processed
@@ -115,7 +124,9 @@
         if self.unsent:
             return self.since_s + limits.send_timeout_s
         if self.is_behind:
-            timeout_ms = None if self.head is None else requests.timeout_ms(self.head.headers)
+            if self.head is None:
+                return unprocessed_deadline_s(self.input.oldest_s, self.input.unread_timeout_ms())
+            timeout_ms = requests.timeout_ms(self.head.headers)
             return unprocessed_deadline_s(self.input.written_since_s, timeout_ms)
         if self.query is not None:
             return None
@@ -313,7 +324,11 @@
         self.pipelined_bytes = self.input.size_bytes
         path, _, query_string = head.target.decode("latin-1").partition("?")
         if path == "/api" and head.method == b"POST":
-            if not sees_all or not self.connections.input_budget.may_open(len(body)):
+            if (
+                self.is_rejecting
+                or not sees_all
+                or not self.connections.input_budget.may_open(len(body))
+            ):
                 self.context.counts["too_far_ahead"] += 1
                 self.answer(503, BUSY)
                 return
@@ -386,15 +401,32 @@
             self.connections.close(self, ClientCloseReason.DEFECT)
 
     def reject_unprocessed(self):
-        """Reject a request that the root has not processed completely in time, and that therefore
-        has no effect; end the connection, as the rest of the request is not read.
+        """Reject the requests that the root has not processed in time, and that therefore have no
+        effect. If one of them was processed in part, end the connection, as its rest is not read.
         """
         if self.is_closed or self.closing:
             return
         self.context.counts["unprocessed"] += 1
-        self.on_dequeued()
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.answer(503, BUSY, close=True)
+        self.is_rejecting = True
+        self._process_received_requests()
+        self.is_rejecting = False
+        if self.is_closed or self.closing:
+            return
+        if self.partial or self.is_within_request:
+            self.on_dequeued()
+            if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                self.answer(503, BUSY, close=True)
+        else:
+            self.connections.scheduler.process(self)
+
+    def _process_received_requests(self):
+        """Process requests of which all is received, as far as the bound allows."""
+        for _ in range(MAX_REJECTING_QUANTA):
+            size_bytes = self.input.size_bytes
+            if size_bytes and not self.is_within_request:
+                self.process_quantum()
+            if self.input.size_bytes >= size_bytes:
+                return
 
     def on_write_drained(self):
         """Continue after an answer that had to wait for the socket is written."""
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -8,13 +8,15 @@
 them.
 """
 
+from time import perf_counter
+
 import h11
 import trio
 
 from mothnotch.decisions import resource_limits
-from mothnotch.decisions.client_input import InputBudget
+from mothnotch.decisions.client_input import INPUT_PASS_S, InputBudget
 from mothnotch.decisions.invariants import Invariant
-from mothnotch.net import CONNECTION_LOST_ERRORS, close_now
+from mothnotch.net import CONNECTION_LOST_ERRORS, TimeSlice, close_now
 from mothnotch.node import requests
 from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.closing import ClientCloseReason
@@ -202,17 +204,23 @@
 
     async def sweep(self):
         """End connections whose timeout has expired, until cancelled."""
+        time_slice = TimeSlice(INPUT_PASS_S)
         while True:
             await trio.sleep(SWEEP_INTERVAL_S)
-            now_s = trio.current_time()
+            time_slice.restart()
             for client in list(self.clients):
+                await time_slice.yield_if_over()
+                if client.is_closed:
+                    continue
                 expires_s = client.expires_s(self.context.resource_limits)
-                if expires_s is not None and expires_s <= now_s:
+                if expires_s is not None and expires_s <= trio.current_time():
+                    started_s = perf_counter()
                     self._end_expired(client)
+                    self.context.loop_monitor.record("client sweep", started_s)
 
     def _end_expired(self, client):
         if client.is_behind:
-            client.reject_unprocessed()
+            self.run_step(client, client.reject_unprocessed)
             return
         self.context.counts["slow"] += not client.served
         if client.partial and not client.closing:
--- a/mothnotch/node/input_scheduler.py
+++ b/mothnotch/node/input_scheduler.py
@@ -49,7 +49,7 @@
         while not self._queue and self._time.is_left(trio.current_time()):
             if not self._measure_quantum(client):
                 return
-            had_quantum = True
+            had_quantum = client.is_within_request
         client.on_queued()
         self._queue.add(client, had_quantum)
         self._added.set()
@@ -62,7 +62,7 @@
     def _process_next(self):
         client = self._queue.pop()
         if not client.is_closed and self._measure_quantum(client):
-            self._queue.add(client, had_quantum=True)
+            self._queue.add(client, client.is_within_request)
         else:
             client.on_dequeued()
 
--- a/mothnotch/node/received_input.py
+++ b/mothnotch/node/received_input.py
@@ -5,8 +5,9 @@
 import trio
 
 from mothnotch.decisions.client_input import was_held_back
+from mothnotch.node import requests
 from mothnotch.node.arrival_times import ArrivalTimes
-from mothnotch.node.request_reader import RequestReader
+from mothnotch.node.request_reader import MAX_HEAD_BYTES, RequestReader
 
 # Maximum size of one read.
 READ_BYTES = 1 << 15
@@ -50,6 +51,18 @@
         """Return whether the network may hold back data that the client has written already."""
         return self.had_full_read and was_held_back(trio.current_time() - self.last_read_s)
 
+    @property
+    def oldest_s(self) -> float:
+        """Return the earliest time at which what is not consumed may have been written."""
+        oldest_s = self._arrivals.oldest_s(self._arrivals.total_bytes - self.size_bytes)
+        return self.written_since_s if oldest_s is None else oldest_s
+
+    def unread_timeout_ms(self) -> int | None:
+        """Return the shortest timeout that requests state whose heads are not read yet; None if the
+        next head states none.
+        """
+        return min(requests.stated_timeouts_ms(self.reader.received[:MAX_HEAD_BYTES]), default=None)
+
     def add(self, data: bytes, at_s: float) -> None:
         """Add a read, and record its arrival time.
 
--- a/mothnotch/node/request_handler.py
+++ b/mothnotch/node/request_handler.py
@@ -1,7 +1,5 @@
 """Submit clients' requests to the core, and send each answer in the turn that decides it."""
 
-import re
-
 from mothnotch.decisions import resource_limits
 from mothnotch.decisions.invariants import Invariant
 from mothnotch.decisions.outcomes import FinalStatus
@@ -11,8 +9,6 @@
 from mothnotch.node.frontend_context import FrontendContext
 from mothnotch.root.core import OverloadedError
 
-# The timeout of a request that is not parsed yet, as it is queued behind another; a complete line.
-TIMEOUT_HEADER = re.compile(rb"(?i)\nx-timeout-ms:[ \t]*([0-9]{1,9})[ \t]*\r?\n")
 # Maximum length of an incomplete line that is kept until its rest is received.
 MAX_PARTIAL_LINE_BYTES = 256
 
@@ -82,7 +78,7 @@
         if client.query is None:
             return
         data = client.partial_line + data
-        timeouts_ms = [int(timeout) for timeout in TIMEOUT_HEADER.findall(data)]
+        timeouts_ms = requests.stated_timeouts_ms(data)
         # A header may be split over several reads, and a number that is cut off is a wrong one.
         line_start = max(0, data.rfind(b"\n"))
         partial_line = data[line_start:]
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -21,6 +21,9 @@
 HASH = re.compile(r"[0-9A-Fa-f]{1,32}")
 # Rounding error by which the sum of the portions may differ from 1.
 PORTION_TOLERANCE = 1e-3
+# The header of a request that is not parsed yet; a complete line.
+TIMEOUT_LINE_START = b"\nx-timeout-ms:"
+TIMEOUT_LINE = re.compile(rb"(?i)\nx-timeout-ms:[ \t]*([0-9]{1,9})[ \t]*\r?\n")
 # Maximum timeout of a request, as a multiple of the longest deadline of any class.
 MAX_TIMEOUT_MULTIPLE = 10
 KNOWN_HEADERS = (
@@ -190,6 +193,19 @@
     return None
 
 
+def stated_timeouts_ms(data: bytes) -> list[int]:
+    """Return the timeouts that requests in `data` state, which are not parsed yet."""
+    lower_case = data.lower()
+    timeouts_ms = []
+    position = lower_case.find(TIMEOUT_LINE_START)
+    while position >= 0:
+        line = TIMEOUT_LINE.match(data, position)
+        if line is not None:
+            timeouts_ms.append(int(line[1]))
+        position = lower_case.find(TIMEOUT_LINE_START, position + 1)
+    return timeouts_ms
+
+
 def _idempotency_key(headers, query_class):
     if query_class.idempotency is not Idempotency.WITH_KEY:
         return None
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -10,8 +10,10 @@
 import trio
 
 from mothnotch.decisions.invariants import DEADLINE_SLACK_S, FINAL_ANSWER_SLACK_S
+from mothnotch.node import client_connections
 from mothnotch.soak.client import encode_chunks
 from mothnotch.standins.platform import request
+from tests.support.pass_counter import PassCounter
 from tests.support.platform_rig import (
     Client,
     on_real_sockets,
@@ -319,3 +321,50 @@
         assert {answer[0] for answer in answers} <= {200, 503}
         # SIGKILL would follow 3.7 s after SIGTERM.
         assert await root.wait_for_exit() == 0
+
+
+UNREAD_REQUESTS = {
+    "one": [request("r1", "read", (0,), timeout_ms=400)],
+    "pipelined": [request(f"r{number}", "read", (0,), timeout_ms=400) for number in range(3)],
+    "pipelined, the last shorter": [
+        request("r1", "read", (0,), timeout_ms=4000),
+        request("r2", "read", (0,), timeout_ms=400),
+    ],
+    "half a head": [request("r1", "read", (0,))[:60]],
+}
+
+
+@on_real_sockets
+@pytest.mark.parametrize("data", UNREAD_REQUESTS.values(), ids=UNREAD_REQUESTS)
+async def test_requests_whose_heads_are_unread_are_rejected_in_time(data):
+    """Guards against requests that wait for long behind the input of others, as no timeout is
+    known before their heads are read.
+    """
+    async with rig() as r:
+        client = r.client()
+        r.root.frontend.connections.scheduler._time = NoInputTime()
+        client.send_bytes(b"".join(data))
+        sent_s = trio.current_time()
+        with trio.fail_after(2):
+            answers = [await client.read_answer() for _ in data]
+        assert [answer and answer[0] for answer in answers] == [503] * len(data)
+        limit_s = 0.4 + FINAL_ANSWER_SLACK_S + SOCKET_SLACK_S
+        assert trio.current_time() - sent_s < limit_s
+        await r.expect_no_open_queries()
+
+
+@on_real_sockets
+async def test_requests_of_many_clients_that_expire_at_once_let_others_run(monkeypatch):
+    """Guards against a hold-up while the requests of many clients are rejected in one go."""
+    monkeypatch.setattr(client_connections, "INPUT_PASS_S", 0.0)
+    async with rig(sockets=512) as r:
+        r.root.frontend.connections.scheduler._time = NoInputTime()
+        clients = [r.client() for _ in range(60)]
+        for client in clients:
+            client.send_bytes(b"".join(UNREAD_REQUESTS["pipelined"]))
+        counts = r.root.frontend.context.counts
+        await wait_until(lambda: counts["unprocessed"])
+        counter = PassCounter()
+        trio.lowlevel.add_instrument(counter)
+        await wait_until(lambda: counts["unprocessed"] >= len(clients))
+        assert counter.passes >= len(clients) - 2
--- a/tests/test_input_scheduler.py
+++ b/tests/test_input_scheduler.py
@@ -20,7 +20,8 @@
     turn_quanta: int = 0
     is_queued: bool = False
     is_closed: bool = False
-    input_phase: str = "head"
+    input_phase: str = "chunks"
+    is_within_request: bool = True
 
     def on_queued(self):
         self.is_queued = True
@@ -135,3 +136,38 @@
     assert queue.pop() is first
     queue.add(first, had_quantum=True)
     assert queue.pop() is second
+
+
+def test_a_pipelined_request_does_not_wait_for_the_turns_of_those_within_requests():
+    """Guards against a further request of a client that waits as if it were the rest of a large
+    one, behind the turns of all clients with large requests (review/8).
+    """
+    pipelining = FakeClient(3, is_within_request=False)
+
+    async def test(world):
+        for _ in range(120):
+            world.scheduler.process(FakeClient(TURN_QUANTA))
+        for _ in range(30):
+            await trio.lowlevel.checkpoint()
+        world.scheduler.process(pipelining)
+        world.asked_pass = world.monitor.passes
+
+    world = run_scheduler(test)
+    served_passes = [number for number, client in world.order if client is pipelining]
+    assert len(served_passes) == 3
+    assert served_passes[-1] - world.asked_pass <= 2
+
+
+def test_many_that_begin_requests_are_served_in_turn():
+    """Guards against a client of many short requests that keeps the others waiting."""
+    endless = FakeClient(500, is_within_request=False)
+    others = [FakeClient(2, is_within_request=False) for _ in range(5)]
+
+    async def test(world):
+        for client in [endless, *others]:
+            world.scheduler.process(client)
+
+    world = run_scheduler(test)
+    order = [client for _, client in world.order]
+    last_other = max(at for at, client in enumerate(order) if client is not endless)
+    assert last_other <= INPUT_PASS_S / world.quantum_s + 2 * (len(others) + 1)
