--- a/mothnotch/decisions/resource_limits.py
+++ b/mothnotch/decisions/resource_limits.py
@@ -39,6 +39,8 @@
 PIPELINE_SLACK_S = 0.25
 # A task that resumes this much later than due has stalled; data that arrived meanwhile is unread.
 STALL_THRESHOLD_S = 0.05
+# Time for a request to come whole before its connection may be closed in favour of another.
+UNFINISHED_GRACE_S = 0.25
 # Fraction of a leaf's idle time after which the root closes an idle connection. If the leaf closed
 # first, a request sent at that moment may have run. The rest covers network delay and stalls.
 LEAF_IDLE_FRACTION = 0.75
@@ -48,8 +50,10 @@
 class ResourceLimits:
     """Limits on connections (counts) and their timeouts (seconds)."""
 
-    # Maximum number of client connections; beyond it the longest idle one is closed.
+    # Maximum number of client connections; beyond it the longest waiting one is closed.
     max_clients: int
+    # Maximum number including those that cannot be closed, as their requests are open.
+    max_busy_clients: int
     # Maximum number of connections to all leaves together.
     max_leaf_connections: int
     # Idle time after which a connection to a leaf is closed.
@@ -93,6 +97,7 @@
     max_input_bytes = int(INPUT_MEMORY_SHARE * shared_mb * (1 << 20))
     return ResourceLimits(
         max_clients=shared // 2,
+        max_busy_clients=shared * 5 // 8,
         max_leaf_connections=shared // 4,
         leaf_idle_timeout_s=LEAF_IDLE_FRACTION * idle_us / 1e6,
         client_idle_timeout_s=8.0,
@@ -106,34 +111,45 @@
     )
 
 
-class IdleClient(Protocol):
-    """The state of an idle client connection that determines the order of closing."""
+class WaitingClient(Protocol):
+    """The state of a connection that waits for its client; determines the order of closing."""
 
     # Its last answer has been sent; only the client's close is outstanding.
     lingering: bool
     # It has received an answer before.
     served: bool
-    # When it became idle.
+    # Part of a request was received.
+    is_unfinished: bool
+    # When it became idle, or when the first byte of that request came.
     since_s: float
 
 
-IdleClientT = TypeVar("IdleClientT", bound=IdleClient)
+WaitingClientT = TypeVar("WaitingClientT", bound=WaitingClient)
 
 
 def clients_to_close(
-    idle: Iterable[IdleClientT], open_count: int, max_open: int
-) -> Sequence[IdleClientT]:
-    """Return the idle connections that may be closed, in order; empty if within `max_open`.
-
-    Lingering connections come first, then those between requests, then those that have sent no
-    request yet; within each group, the longest idle first. The caller closes as many as exceed
-    `max_open`.
+    waiting: Iterable[WaitingClientT], open_count: int, max_open: int, now_s: float
+) -> Sequence[WaitingClientT]:
+    """Return the connections that may be closed, in order; empty if within `max_open`.
+
+    `waiting`: those that wait for their clients. Lingering ones come first, then those whose
+    request has not come whole for UNFINISHED_GRACE_S, then those between requests, those that have
+    sent no request yet, and the other unfinished requests; within each group, the longest waiting
+    first. The caller closes as many as exceed `max_open`.
     """
     if open_count <= max_open:
         return []
-    return sorted(
-        idle, key=lambda client: (not client.lingering, not client.served, client.since_s)
-    )
+
+    def order(client):
+        if client.lingering:
+            group = 0
+        elif client.is_unfinished:
+            group = 1 if now_s - client.since_s >= UNFINISHED_GRACE_S else 4
+        else:
+            group = 2 if client.served else 3
+        return group, client.since_s
+
+    return sorted(waiting, key=order)
 
 
 def pipelined_deadline_s(now_s: float, timeouts_ms: Sequence[int]) -> float | None:
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -8,6 +8,7 @@
 them.
 """
 
+import contextlib
 from time import perf_counter
 
 import h11
@@ -43,12 +44,20 @@
         self.scheduler = InputScheduler(context.loop_monitor, self._run_quantum)
 
     def add(self, client: ClientConnection):
-        """Add an accepted connection; beyond the limit, others are closed for it."""
+        """Add an accepted connection; beyond the limit, others are closed for it. If those are all
+        busy, it is closed itself.
+        """
         self.clients[client] = None
         self.context.counts["connections"] += 1
         self.context.network.configure_stream(client.stream)
-        if len(self.clients) > self.context.resource_limits.max_clients:
+        limits = self.context.resource_limits
+        if len(self.clients) > limits.max_clients:
             self.shed()
+        if len(self.clients) > limits.max_busy_clients and not client.is_closed:
+            # A close over unread data would reset the connection, and could destroy the error.
+            with contextlib.suppress(*CONNECTION_LOST_ERRORS):
+                self.context.network.receive_now(client.stream, READ_BYTES)
+            self.run_step(client, self._shed_client, client)
 
     # ---- steps of a client's protocol ----
 
@@ -179,17 +188,22 @@
         client that has not been served yet is sent an error first.
         """
         limits = self.context.resource_limits
-        idle = [client for client in self.clients if client.is_idle]
-        for client in resource_limits.clients_to_close(idle, len(self.clients), limits.max_clients):
+        waiting = [client for client in self.clients if client.is_idle or client.is_unfinished]
+        for client in resource_limits.clients_to_close(
+            waiting, len(self.clients), limits.max_clients, trio.current_time()
+        ):
             if len(self.clients) <= limits.max_clients:
                 break
             if client.lingering:
                 self.close(client, ClientCloseReason.LAST_ANSWER)
-            elif self.confirm_idle(client):
-                self.context.counts["shed"] += 1
-                if not client.served:
-                    client.fail(503, "too many connections")
-                self.close(client, ClientCloseReason.SHED)
+            elif not self.receive_unread(client):
+                self._shed_client(client)
+
+    def _shed_client(self, client):
+        self.context.counts["shed"] += 1
+        if client.is_unfinished or not client.served:
+            client.fail(503, "too many connections; asking again is harmless")
+        self.close(client, ClientCloseReason.SHED)
 
     def close_idle(self):
         """Close idle connections that have been served, as the root stops."""
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.support.client_flood import run_flood
+from tests.support.client_flood import FEW_SOCKETS, run_flood
 from tests.support.platform_rig import on_real_sockets
 
 FLOOD_S = 3.0
@@ -64,3 +64,13 @@
     flood = await check_flood(tmp_path, (kind, 1))
     assert flood.most_memory_kb - flood.start_memory_kb < GROWTH_KB
     assert set(flood.statuses) == {200}
+
+
+@on_real_sockets
+@pytest.mark.parametrize(("kind", "count"), [("half-head", 500), ("nearly-whole-body", 300)])
+async def test_more_clients_that_stop_in_a_request_than_descriptors(tmp_path, kind, count):
+    """Guards against requests that are not accepted in time, as clients that stop in the middle of
+    a request take all descriptors (review/9).
+    """
+    flood = await check_flood(tmp_path, (kind, count), sockets=FEW_SOCKETS, may_be_shut_out=True)
+    assert flood.statuses[200] >= 0.9 * sum(flood.statuses.values())
