--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -1,20 +1,18 @@
 """A client's connection: receives HTTP requests and sends the answers in order.
 
-`ReceivedInput` holds the input and splits it into requests, in quanta that `InputScheduler` grants.
-Pipelined requests behind an open one are buffered up to a bound, and processed once that has its
-answer; beyond the bound the client is not read. `client_connections` decides when the connection is
-closed.
+`ClientReading` reads the input, which is split into requests in quanta that `InputScheduler`
+grants. Pipelined requests behind an open one are buffered, up to a bound, until that has its
+answer. `client_connections` decides when the connection is closed.
 """
 
 import h11
 import trio
 
 from mothnotch.decisions.client_input import INPUT_QUANTUM_BYTES, unprocessed_deadline_s
-from mothnotch.net import CONNECTION_LOST_ERRORS
 from mothnotch.net.write_buffer import BufferedWriter
 from mothnotch.node import requests
+from mothnotch.node.client_reading import ClientReading
 from mothnotch.node.closing import ClientCloseReason
-from mothnotch.node.received_input import READ_BYTES, ReceivedInput
 
 # Maximum size of all data discarded after a last answer. The rest of a body of 64 KiB in chunks of
 # one byte is less.
@@ -34,9 +32,9 @@
     `arrived_s`: arrival time of the last byte of the current request. `pipelined_bytes`: bytes
     received behind it. `partial_line`: the last of these from the last line feed on. `partial`:
     part of a next request was received. `is_queued`: received input waits to be processed, and no
-    more is read. `is_all_read`: all that the client has sent was read when the current step began.
-    `is_rejecting`: requests are rejected, as they have waited for too long. `closing`: the last
-    answer was given; `lingering`: and it is written completely.
+    more is read. `is_rejecting`: requests are rejected, as they have waited for too long.
+    `closing`: the last answer was given; `lingering`: and it is written completely. `open_bytes`:
+    size of the body of the open request.
     """
 
     def __init__(self, connections, handler, nursery, stream):
@@ -45,7 +43,8 @@
         self.context = connections.context
         self.connections = connections
         self.handler = handler
-        self.input = ReceivedInput(self.network, self.network.pending_since(stream))
+        self.reading = ClientReading(self, connections.input_budget)
+        self.input = self.reading.input
         self.reader = self.input.reader
         self.http = self.reader.http
         self.query = None
@@ -62,9 +61,7 @@
         self.partial = False
         self.is_queued = False
         self.queued_at_s = 0.0
-        self.is_all_read = False
         self.is_rejecting = False
-        self._reading_resumed = trio.Event()
         self.served = False
         self.closing = False
         self.lingering = False
@@ -95,14 +92,6 @@
             return False
         return self.is_queued or self.input.may_be_held_back
 
-    @property
-    def may_read(self) -> bool:
-        """Return whether more may be read: it can be processed, or there is room to buffer it."""
-        if self.is_queued:
-            return False
-        can_process = self.query is None and not self.unsent
-        return can_process or self.connections.input_budget.may_read_ahead(self)
-
     @property
     def is_unfinished(self) -> bool:
         """Return whether part of a request was processed, and its client has to send the rest."""
@@ -153,62 +142,9 @@
             self.input.add(data, at_s)
             self.connections.scheduler.process(self)
         else:
-            self._buffer(data, at_s)
-            self._read_ahead()
-        self.note_held_bytes()
-
-    def _buffer(self, data, at_s):
-        """Buffer data that cannot be processed yet, as an answer is open or unsent."""
-        self.pipelined_bytes += len(data)
-        self.handler.shorten_deadline(self, data, at_s)
-        self.input.add(data, at_s)
-        self.note_held_bytes()
-
-    def _read_ahead(self):
-        """Read what has arrived behind an open request, to see whether its client has left. If
-        there is no room for all of it, that cannot be seen any more.
-        """
-        while self.may_read and not self.is_closed:
-            found = self._receive_now()
-            if not found:
-                return
-            self._buffer(*found)
-        if self.query is not None:
-            self.context.core.lose_sight_of_client(self.query)
-
-    def _receive_now(self):
-        """Return data that has arrived, with its time; None if there is none. The end of the
-        stream closes the connection.
-        """
-        try:
-            found = self.network.receive_now(self.stream, READ_BYTES)
-        except CONNECTION_LOST_ERRORS:
-            found = b"", 0.0
-        self.is_all_read = found is None
-        if found is not None and not found[0]:
-            self.connections.close(self, ClientCloseReason.LEFT)
-            return None
-        return found
-
-    def _sees_all_input(self) -> bool:
-        """Read what has arrived, and return whether that is all, and the client has not left.
-
-        The end of a client's stream may follow what is unread.
-        """
-        while not self.is_all_read and not self.is_closed:
-            has_room = self.connections.input_budget.may_read_ahead(self)
-            if not has_room and self.network.has_unread(self.stream):
-                return False
-            found = self._receive_now()
-            if found:
-                self.input.add(*found)
-                self.note_held_bytes()
-        return not self.is_closed
-
-    def note_held_bytes(self):
-        """Account for the memory that its input takes."""
-        if not self.is_closed:
-            self.connections.input_budget.set(self, self.held_bytes)
+            self.reading.buffer(data, at_s)
+            self.reading.read_ahead()
+        self.reading.note_held_bytes()
 
     def process_quantum(self) -> bool:
         """Process received data until it is consumed, a request ends or the quantum is used;
@@ -229,20 +165,9 @@
                     return self._may_process()
             else:  # NEED_DATA
                 self._on_need_data()
-                return self.input.had_full_read and self.partial and self._receive_rest()
+                return self.input.had_full_read and self.partial and self.reading.receive_rest()
         return False
 
-    def _receive_rest(self):
-        """Read more of a request without waiting, so that the connection keeps its turn; return
-        whether there was any.
-        """
-        found = self._receive_now()
-        if not found:
-            return False
-        # When it arrived is not known: since the last read.
-        self.input.add(found[0], self.input.last_read_s)
-        return True
-
     def _may_process(self):
         """Return whether received data may be processed: no answer is open or unsent."""
         return self.query is None and not self.unsent and not self.is_closed and not self.closing
@@ -251,25 +176,19 @@
         """Note that received input waits to be processed."""
         self.is_queued = True
         self.queued_at_s = trio.current_time()
-        self.is_all_read = False
+        self.reading.is_all_read = False
 
     def on_dequeued(self):
         """Note that all input was processed that can be; the wait for it was the root's."""
         self.is_queued = False
         if self.partial and not self.closing:
             self.since_s += trio.current_time() - self.queued_at_s
-        self._reading_resumed.set()
+        self.reading.resume()
 
     def on_closed(self):
         """Release its input, and wake the task that reads it."""
         self._drop_input()
-        self._reading_resumed.set()
-
-    async def wait_until_read(self):
-        """Wait until more may be read, or the connection has ended."""
-        while not (self.may_read or self.is_closed):
-            self._reading_resumed = trio.Event()
-            await self._reading_resumed.wait()
+        self.reading.resume()
 
     def on_discarded(self, size_bytes: int):
         """Count data received after the last answer; too much of it closes the connection."""
@@ -277,21 +196,6 @@
         if self.lingering and self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.connections.close(self, ClientCloseReason.TOO_MUCH_BEHIND)
 
-    def _has_more_input(self):
-        """Return whether data beyond the current request was received, reading from the socket if
-        necessary.
-        """
-        if self.reader.received:
-            return True
-        try:
-            found = self.network.receive_now(self.stream, READ_BYTES)
-        except CONNECTION_LOST_ERRORS:
-            return False
-        if not found or not found[0]:
-            return False
-        self._buffer(*found)
-        return True
-
     def _on_need_data(self):
         """Handle that all data is consumed but the start of a next request."""
         self.partial = self.head is not None or bool(self.reader.received)
@@ -314,10 +218,10 @@
         self.body = bytearray()
         self.partial = False
         self.turn_quanta = 0
-        arrived_s = self.input.end_request(self.is_all_read)
+        arrived_s = self.input.end_request(self.reading.is_all_read)
         if arrived_s is not None:
             self.arrived_s = arrived_s
-        sees_all = self._sees_all_input()
+        sees_all = self.reading.sees_all()
         if self.is_closed:
             return
         # The remaining bytes belong to the next request.
@@ -354,7 +258,7 @@
     ):
         """Send the answer to the current request; `close`: it is the last on this connection."""
         if not close and self.context.stopping:
-            close = not self._has_more_input()
+            close = not self.reading.has_more()
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         if retry_after_us:
             headers.append(("Retry-After", f"{retry_after_us / 1e6:.3f}"))
@@ -366,7 +270,7 @@
         data += self.http.send(h11.EndOfMessage())
         self.query = None
         self.open_bytes = 0
-        self.is_all_read = False
+        self.reading.is_all_read = False
         self.reader.method = None
         self.since_s = trio.current_time()
         self.served = True
@@ -379,8 +283,8 @@
             self._drop_input()
             if not self.unsent:
                 self.connections.half_close(self)
-        self.note_held_bytes()
-        self._reading_resumed.set()
+        self.reading.note_held_bytes()
+        self.reading.resume()
 
     def _drop_input(self):
         """Drop what was received behind the last answer."""
@@ -434,7 +338,7 @@
             self.connections.half_close(self)
         else:
             self.connections.scheduler.process(self)
-            self._reading_resumed.set()
+            self.reading.resume()
 
     def on_connection_lost(self):
         """Close the connection, as its stream is lost."""
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -85,7 +85,7 @@
 
     def _run_quantum(self, client):
         has_more = self.run_step(client, client.process_quantum)
-        client.note_held_bytes()
+        client.reading.note_held_bytes()
         return has_more
 
     def on_unexpected_error(self, client: ClientConnection, error: Exception):
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -85,14 +85,14 @@
                 # No work is started for a client that has already disconnected: detect the end of
                 # its stream before processing its request.
                 more = network.receive_now(client.stream, budget.read_bytes(READ_BYTES))
-                client.is_all_read = more is None
+                client.reading.is_all_read = more is None
                 if more is not None:
                     data = data + more[0] if more[0] else b""
             self.connections.run_step(client, client.feed, data, at_s)
             if budget.is_exceeded:
                 self.connections.reduce_input()
-            if not client.may_read:
-                await client.wait_until_read()
+            if not client.reading.is_allowed:
+                await client.reading.wait_until_allowed()
 
     async def _discard_input(self, client):
         """Read and drop what follows the last answer."""
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -220,7 +220,7 @@
         (root_client,) = r.root.frontend.connections.clients
         count = 4 * budget.max_client_bytes // len(one_request)
         r.nursery.start_soon(client.stream.send_all, one_request * count)
-        await wait_until(lambda: not root_client.may_read)
+        await wait_until(lambda: not root_client.reading.is_allowed)
         await trio.sleep(0.1)
         assert budget.total_bytes <= budget.max_client_bytes + READ_BYTES + len(one_request)
         await link.answer_part("r1.0")
@@ -253,7 +253,7 @@
         budget = r.root.frontend.connections.input_budget
         count = 4 * budget.max_client_bytes // len(one_request)
         r.nursery.start_soon(client.stream.send_all, one_request * count)
-        await wait_until(lambda: not root_client.may_read)
+        await wait_until(lambda: not root_client.reading.is_allowed)
         link.stream.socket.close()  # the first attempt has failed: another would begin
         answer = await client.read_answer()
         assert answer[0] in (503, 504)
