Listener: connections are accepted for a time in each pass, not four

Cause: four connections were accepted in a pass, which takes 15 to 30 ms beside clients' input. Change: accept for 5 ms in a pass, and four at least. Evidence and result: the new test failed before (over 0.5 s) and passes.

--- a/mothnotch/net/sockets.py
+++ b/mothnotch/net/sockets.py
@@ -21,9 +21,10 @@
 _ANCILLARY_BYTES = socket.CMSG_SPACE(_TIMESTAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
 
 
-# Connections that are accepted in one pass of the event loop. A longer burst leaves the other tasks
-# their turn; with one, the last of a burst would wait for as many passes.
+# Connections that are accepted at least in one pass of the event loop, and the time after which a
+# longer burst leaves the other tasks their turn. The last of a burst waits for as many passes.
 ACCEPTS_PER_PASS = 4
+ACCEPT_PASS_S = 0.005
 
 
 def close_now(stream) -> None:
@@ -43,6 +44,7 @@
         self._accepted_count = 0
         # Earliest time from which a connection may be pending: the end of the last wait for one.
         self._pending_since_s = trio.current_time()
+        self._pass_began_s = self._pending_since_s
 
     async def accept(self) -> trio.SocketStream:
         """Wait for a connection; raise ClosedResourceError if closed, OSError on failure."""
@@ -55,13 +57,18 @@
             stream = self.accept_now()
             if stream is not None:
                 self._accepted_count += 1
-                if self._accepted_count % ACCEPTS_PER_PASS == 0:
+                if self._accepted_count % ACCEPTS_PER_PASS == 0 and self._is_pass_over():
                     await trio.lowlevel.cancel_shielded_checkpoint()
+                    self._pass_began_s = trio.current_time()
                 return stream
             try:
                 await trio.lowlevel.wait_readable(self.socket._sock)
             finally:
                 self._pending_since_s = trio.current_time()
+                self._pass_began_s = self._pending_since_s
+
+    def _is_pass_over(self):
+        return trio.current_time() - self._pass_began_s >= ACCEPT_PASS_S
 
     def accept_now(self) -> trio.SocketStream | None:
         """Return a pending connection, None if there is none.
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from mothnotch.net import sockets
 from mothnotch.net.sockets import ACCEPTS_PER_PASS
 from mothnotch.standins.platform import request
 from mothnotch.standins.platform_settings import options
@@ -141,12 +142,15 @@
 
 
 @on_real_sockets
-async def test_timeout_on_a_connection_accepted_late_runs_from_its_earliest_possible_arrival():
+async def test_timeout_on_a_connection_accepted_late_runs_from_its_earliest_possible_arrival(
+    monkeypatch,
+):
     """Guards against passing a leaf a deadline that is too late.
 
     In a burst of connections the last ones wait to be accepted, and the kernel's timestamp of what
     is then read is that of its last byte.
     """
+    monkeypatch.setattr(sockets, "ACCEPT_PASS_S", 0.0)
     async with rig() as r:
 
         async def delay_scheduler():
@@ -172,6 +176,29 @@
             other.disconnect()
 
 
+@on_real_sockets
+async def test_a_burst_of_connections_is_accepted_in_few_passes():
+    """Guards against requests that wait for seconds to be accepted, as hundreds of clients connect
+    at once while passes of the event loop take long (a soak's find).
+    """
+    async with rig(sockets=1024) as r:
+
+        async def delay_scheduler():
+            while True:
+                time.sleep(0.02)
+                await trio.lowlevel.checkpoint()
+
+        burst = [r.client() for _ in range(300)]
+        client = r.client()
+        client.send_bytes(b"GET /-/healthy HTTP/1.1\r\nHost: a\r\n\r\n")
+        sent_s = trio.current_time()
+        r.nursery.start_soon(delay_scheduler)
+        assert (await client.read_answer())[0] == 200
+        assert trio.current_time() - sent_s < 0.5
+        for other in burst:
+            other.disconnect()
+
+
 def split_in_two(data, line_end=b"\r\n"):
     """Return a request cut into two pieces at each position of its head."""
     data = data.replace(b"\r\n", line_end)
