Shutdown: what bad clients have sent ahead does not keep a root beyond its kill; soak: bad clients, memory

Cause: at its end all received requests were begun and ended, round by round, without a bound in time. Change: they are rejected, clients with little input first, for 0.05 s. The soak draws bad clients (22 kinds, 1 to 600) and kills a root over its memory limit: it had judged neither memory nor what clients send ahead.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -97,6 +97,11 @@
         """Return whether part of a request was processed, and its client has to send the rest."""
         return self.partial and self.query is None and not (self.is_queued or self.closing)
 
+    @property
+    def has_unprocessed(self) -> bool:
+        """Return whether received input could be processed, or waits for the rest of a request."""
+        return self._may_process() and bool(self.partial or self.input.size_bytes)
+
     @property
     def held_bytes(self) -> int:
         """Return the memory that its input takes."""
@@ -230,6 +235,7 @@
         if path == "/api" and head.method == b"POST":
             if (
                 self.is_rejecting
+                or self.context.rejects_all
                 or not sees_all
                 or not self.connections.input_budget.may_open(len(body))
             ):
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from mothnotch.decisions.client_input import FINAL_INPUT_S
+from mothnotch.decisions.client_input import FINAL_INPUT_S, INPUT_PASS_S, SMALL_READ_BYTES
 from mothnotch.net import CONNECTION_LOST_ERRORS, RETRY_PAUSE_S, serve
 from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.client_connections import ClientConnections
@@ -22,8 +22,8 @@
 # maximum size of each.
 DISCARD_PAUSE_S = 0.01
 DISCARD_BYTES = 1 << 18
-# No request is shorter, so that so many fit into what may be buffered of a client.
-MIN_REQUEST_BYTES = 128
+# Maximum steps in which one client's requests are rejected as the root ends.
+MAX_REJECTING_STEPS = 64
 
 
 class HttpFrontend:
@@ -135,22 +135,35 @@
         that is not processed completely is rejected.
         """
         until_s = trio.current_time() + FINAL_INPUT_S
-        for client in list(self.connections.clients):
+        self.context.rejects_all = True
+        self.context.core.end_open_queries()
+        for client in self._clients_by_size():
+            if trio.current_time() >= until_s:
+                break
             if not client.is_queued:
                 self.connections.receive_unread(client)
-        for _ in range(self.connections.input_budget.max_client_bytes // MIN_REQUEST_BYTES):
-            self.connections.scheduler.process_all(until_s)
-            if not self.context.core.end_open_queries():
-                break
-        for client in list(self.connections.clients):
-            if (client.partial or client.is_queued) and client.query is None:
-                self.connections.run_step(client, client.reject_unprocessed)
+        self._reject_received(until_s)
 
     def end_open_requests(self):
         """Answer all open queries, and all requests that the root has not processed in time."""
         self.context.core.end_open_queries()
-        for client in list(self.connections.clients):
-            if client.is_behind:
+        self._reject_received(trio.current_time() + INPUT_PASS_S, only_behind=True)
+
+    def _clients_by_size(self):
+        """Return all clients, those first whose input takes least memory."""
+        return sorted(self.connections.clients, key=lambda client: client.held_bytes)
+
+    def _reject_received(self, until_s, only_behind=False):
+        """Reject what was received and is not processed, until a time. Clients that sent little
+        come first, and are told in any case. `only_behind`: not those that send a request just now.
+        """
+        for client in self._clients_by_size():
+            if only_behind and not client.is_behind:
+                continue
+            is_small = client.held_bytes <= SMALL_READ_BYTES
+            for _ in range(MAX_REJECTING_STEPS):
+                if not client.has_unprocessed or not (is_small or trio.current_time() < until_s):
+                    break
                 self.connections.run_step(client, client.reject_unprocessed)
 
     async def _accept_backlog(self, listener):
--- a/mothnotch/node/frontend_context.py
+++ b/mothnotch/node/frontend_context.py
@@ -28,6 +28,7 @@
 
     `shard_count`: shards of the table. `is_ready()`: whether the root may accept queries.
     `stopping`: a graceful shutdown has begun, and all requests must be answered by `answer_by_s`.
+    `rejects_all`: the root ends right now.
     """
 
     core: object
@@ -39,4 +40,5 @@
     loop_monitor: LoopMonitor
     stopping: bool = False
     answer_by_s: float = math.inf
+    rejects_all: bool = False
     counts: dict[str, int] = field(default_factory=_counts)
--- a/mothnotch/node/input_scheduler.py
+++ b/mothnotch/node/input_scheduler.py
@@ -54,11 +54,6 @@
         self._queue.add(client, had_quantum)
         self._added.set()
 
-    def process_all(self, until_s: float):
-        """Process the queued input now, as the root ends, but not longer than until `until_s`."""
-        while self._queue and trio.current_time() < until_s:
-            self._process_next()
-
     def _process_next(self):
         client = self._queue.pop()
         if not client.is_closed and self._measure_quantum(client):
--- a/mothnotch/soak/plan.py
+++ b/mothnotch/soak/plan.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from mothnotch.soak.bad_clients import KINDS
 from mothnotch.soak.settings import CELLS
 
 CALLS = ("accept", "socket", "connect", "setsockopt", "send", "recv", "stderr")
@@ -15,6 +16,7 @@
 KILL_DELAY_S = 0.7
 KILL_DEADLINE_MAX_S = 3.0
 CHUNKED_LOAD_S = 3.0  # for this long, clients send bodies in small chunks
+BAD_CLIENTS_S = 3.0  # the bad clients stay for this long
 HANG_AFTER_KILL_S = 0.2  # leaves that hang through a shutdown still do so after a kill
 
 
@@ -142,6 +144,32 @@
     )
 
 
+@dataclass(frozen=True)
+class BadClientLoad:
+    """Bad clients of one root, for a part of a soak; `kind`: one of `bad_clients.KINDS`."""
+
+    root: int
+    kind: str
+    clients: int
+    begin_s: float
+    end_s: float
+
+
+def draw_bad_clients(random, deployment, length_s):
+    """Return the bad clients: from one to more than the descriptors of their root.
+
+    Drawn by a generator of their own, as above.
+    """
+    begin_s = random.uniform(WARM_UP_S, max(WARM_UP_S, length_s - COOL_DOWN_S - BAD_CLIENTS_S))
+    return BadClientLoad(
+        draw_root(random, deployment),
+        random.choice(sorted(KINDS)),
+        random.choice((1, 20, 100, 300, 600)),
+        begin_s,
+        begin_s + BAD_CLIENTS_S,
+    )
+
+
 def kill_delay_s(deployment):
     """Return the time after SIGTERM after which a root is killed."""
     return min(deployment.deadline_s, KILL_DEADLINE_MAX_S) + KILL_DELAY_S
--- a/mothnotch/soak/processes.py
+++ b/mothnotch/soak/processes.py
@@ -28,6 +28,35 @@
     return numbers
 
 
+def resident_memory_kb(pid: int) -> int:
+    """Return the resident memory of a process, mapped files included; 0 if it has ended."""
+    try:
+        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return 0
+    sizes = [int(line.split()[1]) for line in lines if line.startswith("VmRSS:")]
+    return sizes[0] if sizes else 0
+
+
+def start_bad_clients(kind: str, address: str, count: int, seconds: float, log=None):
+    """Start bad clients, which end by themselves; `log`: a file for their standard error."""
+    return subprocess.Popen(
+        [
+            sys.executable,
+            "-m",
+            "mothnotch.soak.bad_clients",
+            kind,
+            address,
+            str(count),
+            str(seconds),
+        ],
+        cwd=REPOSITORY,
+        stdout=subprocess.DEVNULL if log else subprocess.PIPE,
+        stderr=log,
+        text=True,
+    )
+
+
 class Helper:
     """A process of the soak that takes commands as JSON lines on standard input."""
 
@@ -83,6 +112,10 @@
         limit = soak.deployment.sockets + HARNESS_DESCRIPTORS
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
 
+    def memory_kb(self) -> int:
+        """Return its resident memory, mapped files included; 0 if it has ended."""
+        return resident_memory_kb(self.process.pid)
+
     def catches_signals(self) -> bool:
         """Return whether the program has installed its handlers of SIGHUP and SIGTERM."""
         try:
--- a/mothnotch/soak/run.py
+++ b/mothnotch/soak/run.py
@@ -21,9 +21,11 @@
 
 from mothnotch.soak import judge, plan, records, settings, shim
 from mothnotch.soak.faults import FaultInjector
-from mothnotch.soak.processes import HOST, Helper, RootProcess, free_ports
+from mothnotch.soak.processes import HOST, Helper, RootProcess, free_ports, start_bad_clients
 
 LENGTH_S, FAULTS = 14.0, 16
+MEMORY_MB = 96  # limit of a root
+MEMORY_INTERVAL_S = 0.05  # between two looks at the memory of the roots
 CLIENTS_PER_ROOT, REQUEST_RATE = 2, 4.0
 MACHINE_STALL_THRESHOLD_S = 0.25  # a sleep that ends this late shows that the machine stalled
 
@@ -51,6 +53,10 @@
         self.chunked_load = plan.draw_chunked_load(
             random.Random(f"chunked load {seed}"), self.deployment, length_s
         )
+        self.bad_clients = plan.draw_bad_clients(
+            random.Random(f"bad clients {seed}"), self.deployment, length_s
+        )
+        self.most_memory_kb = 0
         self.event_log = records.EventLog(folder, "soak")
         self.fault_injector = FaultInjector(self)
         deployment = self.deployment
@@ -68,6 +74,7 @@
             self.leaf_incarnations,
         ) = [], {}, [], [0] * deployment.leaves
         self.machine_stall_s = 0.0
+        self.bad_client_processes = []
         self.agent_index, self.boot_ms, self.controls = (
             [0] * deployment.roots,
             [0] * deployment.leaves,
@@ -105,7 +112,11 @@
                         self.discovery_target(leaf) for leaf in range(self.deployment.leaves)
                     ],
                 },
-                "limits": {"cores": 1, "memory_mb": 96, "sockets": self.deployment.sockets},
+                "limits": {
+                    "cores": 1,
+                    "memory_mb": MEMORY_MB,
+                    "sockets": self.deployment.sockets,
+                },
                 "settings": self.deployment.settings(number),
             }
         )
@@ -193,6 +204,33 @@
                 self.machine_stall_s += stall_s
                 self.event_log.write("machine stood still", s=stall_s)
 
+    async def keep_to_memory(self):
+        """Kill each root that uses more memory than its limit, as the platform does."""
+        while True:
+            await trio.sleep(MEMORY_INTERVAL_S)
+            for root in filter(None, list(self.current_processes.values())):
+                memory_kb = root.memory_kb()
+                self.most_memory_kb = max(self.most_memory_kb, memory_kb)
+                if memory_kb > MEMORY_MB * 1024:
+                    self.event_log.write("memory exceeded", root=root.number, memory_kb=memory_kb)
+                    root.process.kill()
+
+    async def run_bad_clients(self, began):
+        """Run the bad clients for their part of the soak."""
+        load = self.bad_clients
+        await trio.sleep(max(0, began + load.begin_s - records.now()))
+        self.event_log.write(
+            "bad clients", root=load.root, what=load.kind, clients=load.clients, end_s=load.end_s
+        )
+        process = start_bad_clients(
+            load.kind,
+            f"{HOST}:{self.root_ports[load.root]}",
+            load.clients,
+            load.end_s - load.begin_s,
+            self.helper_log,
+        )
+        self.bad_client_processes.append(process)
+
     def chunked_load_options(self, number, began):
         """Return the chunked load for the clients of a root, None if another root has it."""
         load = self.chunked_load
@@ -231,6 +269,8 @@
         ]
         async with trio.open_nursery() as self.nursery:
             self.nursery.start_soon(self.detect_machine_stalls)
+            self.nursery.start_soon(self.keep_to_memory)
+            self.nursery.start_soon(self.run_bad_clients, began)
             for fault in self.faults:
                 await trio.sleep(max(0, began + fault.at_s - records.now()))
                 self.event_log.write(
@@ -258,6 +298,9 @@
             root.process.wait()
         for helper in [*self.leaves, self.proxy, self.discovery]:
             helper.kill()
+        for process in self.bad_client_processes:
+            process.kill()
+            process.wait()
         self.helper_log.close()
         for root in self.root_processes:
             self.event_log.write(
@@ -334,6 +377,8 @@
         print(
             f"seed {seed}: {soak.deployment.roots} roots, {soak.deployment.leaves} leaves, "
             f"{soak.deployment.streams} parts a connection; "
+            f"{soak.bad_clients.clients} x {soak.bad_clients.kind}, "
+            f"{soak.most_memory_kb // 1024} MB; "
             f"{dict(verdict.counts)}; excused {dict(verdict.excused)}; "
             + (
                 f"the machine stalled for {soak.machine_stall_s:.1f} s; "
--- a/tests/support/client_flood.py
+++ b/tests/support/client_flood.py
@@ -4,7 +4,6 @@
 """
 
 import json
-import pathlib
 import resource
 import subprocess
 import sys
@@ -14,6 +13,7 @@
 import trio
 
 from mothnotch.decisions.invariants import FINAL_ANSWER_SLACK_S
+from mothnotch.soak.processes import resident_memory_kb, start_bad_clients
 from mothnotch.standins.platform import request
 from mothnotch.standins.platform_settings import CELLS
 from tests.support.platform_rig import Client
@@ -61,21 +61,11 @@
             self.late.append((name, round(took_s, 3)))
 
 
-def memory_kb(pid):
-    """Return the process's resident memory, mapped files included; None if it has ended."""
-    try:
-        lines = pathlib.Path(f"/proc/{pid}/status").read_text().splitlines()
-    except OSError:
-        return None
-    sizes = [int(line.split()[1]) for line in lines if line.startswith("VmRSS:")]
-    return sizes[0] if sizes else None
-
-
 async def keep_to_memory(root, flood, memory_mb):
     """Kill the root, as the platform does, once it uses more memory than its limit."""
     while root.is_running():
-        size_kb = memory_kb(root.process.pid)
-        if size_kb is not None:
+        size_kb = resident_memory_kb(root.process.pid)
+        if size_kb:
             flood.start_memory_kb = flood.start_memory_kb or size_kb
             flood.most_memory_kb = max(flood.most_memory_kb, size_kb)
             if size_kb > memory_mb * 1024:
@@ -132,17 +122,6 @@
         process.wait()
 
 
-def start_bad_clients(root, kind, count, seconds):
-    """Start bad clients, which end by themselves after that time."""
-    arguments = [kind, root.address, str(count), str(seconds)]
-    return subprocess.Popen(
-        [sys.executable, "-m", "mothnotch.soak.bad_clients", *arguments],
-        cwd=REPOSITORY,
-        stdout=subprocess.PIPE,
-        text=True,
-    )
-
-
 @asynccontextmanager
 async def limited_root(
     tmp_path, memory_mb=MEMORY_MB, sockets=SOCKETS, work_s=LEAF_WORK_S, **changes
@@ -183,7 +162,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(keep_to_memory, root, flood, memory_mb)
             await ask_in_turn(root, flood, 0.5, False)
-            processes = [start_bad_clients(root, kind, count, seconds) for kind, count in loads]
+            processes = [
+                start_bad_clients(kind, root.address, count, seconds) for kind, count in loads
+            ]
             await trio.sleep(0.3)
             await ask_in_turn(root, flood, seconds, may_be_shut_out)
             for process in processes:
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -3,13 +3,19 @@
 Each test is a load of real processes, in the words of the platform's pages and of operators.
 """
 
+import signal
+
 import pytest
+import trio
 
-from tests.support.client_flood import FEW_SOCKETS, run_flood
+from mothnotch.soak.processes import start_bad_clients
+from tests.support.client_flood import FEW_SOCKETS, Flood, ask_in_turn, limited_root, run_flood
 from tests.support.platform_rig import on_real_sockets
 
 FLOOD_S = 3.0
 LONG_FLOOD_S = 8.0
+# SIGKILL follows SIGTERM after the longest deadline, 3 s at most, and 0.7 s.
+KILL_AFTER_S = 3.7
 DOZENS = 40
 HUNDREDS = 300
 # Nearly as many as a root of 1,024 descriptors has for clients.
@@ -85,3 +91,24 @@
     its client states has passed (operators' picture (b)).
     """
     await check_flood(tmp_path, (kind, DOZENS), seconds=LONG_FLOOD_S)
+
+
+@on_real_sockets
+@pytest.mark.parametrize("kind", ["many-requests", "many-small-requests-and-leave"])
+async def test_a_root_that_is_told_to_end_does_so_in_time_beside_bad_clients(tmp_path, kind):
+    """Guards against a root that is killed with requests unanswered, as it answers at its end all
+    that bad clients have sent ahead (a soak's find).
+    """
+    async with limited_root(tmp_path) as (root, _):
+        bad_clients = start_bad_clients(kind, root.address, 100, 1.0 + KILL_AFTER_S)
+        flood = Flood()
+        await ask_in_turn(root, flood, 1.0, False)
+        root.send_signal(signal.SIGTERM)
+        sent_s = trio.current_time()
+        await ask_in_turn(root, flood, 0.3, False)
+        status = await root.wait_for_exit()
+        took_s = trio.current_time() - sent_s
+        await trio.to_thread.run_sync(bad_clients.communicate)
+    assert flood.kept_rules, flood
+    assert status == 0
+    assert took_s < KILL_AFTER_S
--- a/tests/test_client_leaving.py
+++ b/tests/test_client_leaving.py
@@ -6,8 +6,9 @@
 import trio
 
 from mothnotch.decisions.recent_ids import MAX_IDS, RecentIds
+from mothnotch.soak.processes import start_bad_clients
 from mothnotch.standins.platform import request
-from tests.support.client_flood import Flood, ask_in_turn, limited_root, start_bad_clients
+from tests.support.client_flood import Flood, ask_in_turn, limited_root
 from tests.support.platform_rig import on_real_sockets, rig
 
 LEAVING_S = 3.0
@@ -22,7 +23,7 @@
     """
     flood = Flood()
     async with limited_root(tmp_path, MEMORY_MB) as (root, leaves):
-        clients = start_bad_clients(root, kind, count, LEAVING_S)
+        clients = start_bad_clients(kind, root.address, count, LEAVING_S)
         await ask_in_turn(root, flood, LEAVING_S, False)
         output, _ = await trio.to_thread.run_sync(clients.communicate)
         await trio.sleep(0.5)
