--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -9,7 +9,8 @@
 
 import trio
 
-from mothnotch.decisions.client_input import INPUT_PASS_S
+from mothnotch.decisions.client_input import INPUT_PASS_S, InputBudget
+from mothnotch.decisions.resource_limits import INPUT_MEMORY_SHARE
 from mothnotch.fronts.session import REPORTED_SETTINGS, RowStream, Session, duration_ms
 from mothnotch.net import TimeSlice, close_now, serve
 from mothnotch.pgwire import auth
@@ -34,6 +35,7 @@
 class PreparedStatement:
     plan: object  # None for an empty statement
     oids: tuple
+    text_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -55,6 +57,8 @@
         self.session, self.disconnected = None, False
         self.statements, self.portals = OrderedDict(), {}
         self.output = bytearray()
+        # Whether the session waits for the rest of a message, and the error that ends it.
+        self.awaits_input, self.input_error = False, None
         self.time_slice = TimeSlice(INPUT_PASS_S)
 
     # ---- bytes ----
@@ -84,12 +88,23 @@
                 if not data:
                     break
                 self.wire.receive(data)
+                self.note_input()
+                self.frontend.reduce_input()
                 self.data_received.set()
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         self.disconnected = True
         scope.cancel()
 
+    def note_input(self):
+        """Account for the memory of the session's input."""
+        self.frontend.input_budget.set(self, self.wire.buffered_bytes)
+
+    def note_statements(self):
+        """Account for the memory of its prepared statements."""
+        text_bytes = sum(statement.text_bytes for statement in self.statements.values())
+        self.frontend.statement_budget.set(self, text_bytes)
+
     async def next_event(self):
         """Return the next event; flush the output before waiting for it.
 
@@ -99,16 +114,21 @@
             # Created before the buffer is checked: data that arrives during the flush must set the
             # event that is awaited below, or the wakeup is lost.
             self.data_received = trio.Event()
+            if self.input_error is not None:
+                raise self.input_error
             event = self.wire.next_event()
             if event is not None:
                 return event
+            self.note_input()
             await self.flush()
             if self.frontend.stopping and self.is_answered():
                 return None
             self.input_consumed.set()
             seconds, sqlstate, text = self.idle_limit()
+            self.awaits_input = True
             with trio.move_on_after(seconds) as scope:
                 await self.data_received.wait()
+            self.awaits_input = False
             if (
                 scope.cancelled_caught
                 and not self.data_received.is_set()
@@ -210,6 +230,8 @@
             if self.session is not None:
                 frontend.clients.pop(self.session.pid, None)
             self.close_portals()
+            frontend.input_budget.remove(self)
+            frontend.statement_budget.remove(self)
             close_now(self.stream)
 
     async def send_fatal_error(self, sqlstate, text):
@@ -505,7 +527,12 @@
                 "at most",
                 "Close those not needed (DEALLOCATE).",
             )
-        self.statements[event.name] = PreparedStatement(plan, plan.oids if plan else ())
+        text_bytes = len(event.sql)
+        budget = self.frontend.statement_budget
+        if event.name and budget.total_bytes + text_bytes > budget.max_bytes:
+            raise SqlError("53200", "the memory for prepared statements is full")
+        self.statements[event.name] = PreparedStatement(plan, plan.oids if plan else (), text_bytes)
+        self.note_statements()
         self.output += b.PARSE_COMPLETE
 
     def prepared_statement(self, name):
@@ -625,10 +652,12 @@
         else:
             self.prepared_statement(statement.name)
             del self.statements[statement.name]
+        self.note_statements()
 
     async def on_close(self, event):
         if event.kind == "S":
             self.statements.pop(event.name, None)
+            self.note_statements()
         else:
             self.close_portals(event.name)
         self.output += b.CLOSE_COMPLETE
@@ -653,6 +682,10 @@
             random,
         )
         self.clients = {}
+        memory_bytes = int(INPUT_MEMORY_SHARE * config.memory.limit_bytes)
+        client_bytes = READ_AHEAD_BYTES + config.front.message_limit
+        self.input_budget = InputBudget(memory_bytes, client_bytes)
+        self.statement_budget = InputBudget(memory_bytes, client_bytes)
         self.stopping = False
         self.accept_scope = trio.CancelScope()
         self.verifiers = {}
@@ -661,6 +694,23 @@
                 user: auth.make_verifier(password) for user, password in config.auth.users.items()
             }
 
+    def reduce_input(self):
+        """End the sessions that wait for the rest of a message, those with the largest input first,
+        until the memory for clients' input suffices.
+        """
+        while self.input_budget.is_exceeded:
+            client = self.input_budget.largest(
+                client
+                for client in self.clients.values()
+                if client.awaits_input and client.wire.buffered_bytes and client.input_error is None
+            )
+            if client is None:
+                return
+            self.log.info("clients' input exceeds its memory", clients=len(self.clients))
+            client.input_error = ProtocolError("the memory for clients' input is full", "53200")
+            client.data_received.set()
+            self.input_budget.remove(client)
+
     def cancel(self, event):
         """Cancel the statement that the client of a CancelRequest runs.
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -236,3 +236,50 @@
                 psycopg.connect(root.url(user), password=password)
     with pytest.raises(ValueError, match="auth.method"):
         demo.config(listen=["0.0.0.0:5432"])
+
+
+def test_messages_that_do_not_come_whole_are_bounded_in_sum():
+    """Guards against clients that stop half way through large messages and together fill the memory
+    (operators' picture (a), on the SQL root).
+    """
+
+    async def test(world):
+        usual = await world.client()
+        budget = world.root.front.input_budget
+        half_message = b"Q" + struct.pack("!i", 1 << 20) + b"x" * 600_000
+        streams = []
+        for _ in range(20):
+            stream = await world.network.open(world.root.addresses[0])
+            await stream.send_all(STARTUP + half_message)
+            streams.append(stream)
+            await trio.sleep(0.01)
+            assert budget.total_bytes <= budget.max_bytes
+            assert (await usual.query("SELECT 1")).error is None
+        assert budget.most_bytes <= budget.max_bytes + (1 << 16)
+        await trio.sleep(1)
+        assert len(world.root.front.clients) < 15
+
+    run_in_world(test, {"memory": {"limit_bytes": 16 << 20}})
+
+
+def test_prepared_statements_are_bounded_in_sum():
+    """Guards against large statements under ever new names in all sessions together."""
+
+    async def test(world):
+        clients = [await world.client() for _ in range(4)]
+        sqlstates = set()
+        for number in range(40):
+            for client in clients:
+                text = "SELECT '" + "x" * 60_000 + f"{number}'"
+                await client.send(wire.parse(f"s{number}", text) + wire.SYNC)
+                reply = await client.read_reply()
+                sqlstates.add(reply.error.sqlstate if reply.error else None)
+        budget = world.root.front.statement_budget
+        assert sqlstates == {None, "53200"}
+        assert budget.most_bytes <= budget.max_bytes
+        clients[0].close()
+        await trio.sleep(0.1)
+        await clients[1].send(wire.parse("again", "SELECT 1") + wire.SYNC)
+        assert (await clients[1].read_reply()).error is None
+
+    run_in_world(test, {"memory": {"limit_bytes": 16 << 20}})
