Clients' input: nothing of a read or of a closed connection is kept

Cause: the task of a client kept its last read while it waited; a closed connection and its ClientReading referred to each other and lived until the garbage collector ran (1,148 alive of 237 open). Names of headers were no longer lowered by the parser itself. Change: a read ends with its step; the reference is broken at the close; the parser lowers names again. The new test failed before (20 of 20 alive) and passes.

--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -193,7 +193,7 @@
     def on_closed(self):
         """Release its input, and wake the task that reads it."""
         self._drop_input()
-        self.reading.resume()
+        self.reading.release()
 
     def on_discarded(self, size_bytes: int):
         """Count data received after the last answer; too much of it closes the connection."""
--- a/mothnotch/node/client_reading.py
+++ b/mothnotch/node/client_reading.py
@@ -29,8 +29,12 @@
 
     @property
     def is_allowed(self) -> bool:
-        """Return whether more may be read: it can be processed, or there is room to buffer it."""
+        """Return whether more may be read: it can be processed, or there is room to buffer it. A
+        closed connection has nothing to wait for.
+        """
         client = self._client
+        if client is None:
+            return True
         if client.is_queued:
             return False
         can_process = client.query is None and not client.unsent
@@ -38,17 +42,24 @@
 
     async def wait_until_allowed(self):
         """Wait until more may be read, or the connection has ended."""
-        while not (self.is_allowed or self._client.is_closed):
+        while not self.is_allowed:
             self._resumed = trio.Event()
             await self._resumed.wait()
 
+    def release(self):
+        """End with the connection. Breaking the reference cycle frees both at once, so that many
+        short connections do not fill the memory until the garbage collector runs.
+        """
+        self._client = None
+        self.resume()
+
     def resume(self):
         """Wake the task that waits until more may be read."""
         self._resumed.set()
 
     def note_held_bytes(self):
         """Account for the memory that the client's input takes."""
-        if not self._client.is_closed:
+        if self._client is not None:
             self._budget.set(self._client, self._client.held_bytes)
 
     def buffer(self, data: bytes, at_s: float):
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -72,27 +72,31 @@
 
     async def _read_client(self, client):
         """Read a connection and process its data until it is closed."""
-        network = self.context.network
-        budget = self.connections.input_budget
         while not client.is_closed:
             if client.closing:
                 await self._discard_input(client)
-                continue
-            data, at_s = await network.receive(client.stream, budget.read_bytes(READ_BYTES))
-            if client.is_closed:
-                return
-            if data and client.query is None:
-                # No work is started for a client that has already disconnected: detect the end of
-                # its stream before processing its request.
-                more = network.receive_now(client.stream, budget.read_bytes(READ_BYTES))
-                client.reading.is_all_read = more is None
-                if more is not None:
-                    data = data + more[0] if more[0] else b""
-            self.connections.run_step(client, client.feed, data, at_s)
-            if budget.is_exceeded:
-                self.connections.reduce_input()
-            if not client.reading.is_allowed:
-                await client.reading.wait_until_allowed()
+            else:
+                await self._read_once(client)
+                if not client.reading.is_allowed:
+                    await client.reading.wait_until_allowed()
+
+    async def _read_once(self, client):
+        """Wait for data and process it. No reference to it is left while the caller waits."""
+        network = self.context.network
+        budget = self.connections.input_budget
+        data, at_s = await network.receive(client.stream, budget.read_bytes(READ_BYTES))
+        if client.is_closed:
+            return
+        if data and client.query is None:
+            # No work is started for a client that has already disconnected: detect the end of its
+            # stream before processing its request.
+            more = network.receive_now(client.stream, budget.read_bytes(READ_BYTES))
+            client.reading.is_all_read = more is None
+            if more is not None:
+                data = data + more[0] if more[0] else b""
+        self.connections.run_step(client, client.feed, data, at_s)
+        if budget.is_exceeded:
+            self.connections.reduce_input()
 
     async def _discard_input(self, client):
         """Read and drop what follows the last answer."""
--- a/mothnotch/node/requests.py
+++ b/mothnotch/node/requests.py
@@ -158,10 +158,14 @@
 
 
 def _known_headers(headers):
-    """Return a head's headers as text. One that is repeated with a different value is an error."""
+    """Return the known headers as text. A header that is repeated with a different value is an
+    error.
+    """
     values = {}
     for raw_name, raw_value in headers:
-        name = raw_name.decode("latin-1")
+        if raw_name.lower() not in KNOWN_HEADERS:
+            continue
+        name = raw_name.decode("latin-1").lower()
         value = raw_value.decode("latin-1").strip()
         if values.setdefault(name, value) != value:
             raise BadRequestError(400, f"{name} stands twice")
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -1,5 +1,8 @@
 """Clients that disconnect while their request is read, queued, partly sent or answered."""
 
+import gc
+import weakref
+
 import pytest
 import trio
 
@@ -279,3 +282,26 @@
             assert (await client.read_answer())[0] == 200
         await wait_until(lambda: len(r.root.frontend.connections.clients) == 15)
         await r.expect_no_open_queries()
+
+
+@on_real_sockets
+async def test_a_closed_connection_is_freed_without_the_garbage_collector():
+    """Guards against memory that many short connections fill until the collector runs."""
+    async with rig() as r:
+        connections = r.root.frontend.connections
+        gc.collect()
+        gc.disable()
+        try:
+            references = []
+            for number in range(20):
+                client = r.client()
+                client.send_bytes(b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n" % number)
+                assert (await client.read_answer())[0] == 404
+                references.append(weakref.ref(next(iter(connections.clients))))
+                client.disconnect()
+                await wait_until(lambda: not connections.clients)
+            await trio.sleep(0.05)
+            alive = sum(reference() is not None for reference in references)
+        finally:
+            gc.enable()
+        assert alive <= 1
