--- a/mothnotch/decisions/resource_limits.py
+++ b/mothnotch/decisions/resource_limits.py
@@ -27,8 +27,8 @@
 # ... and this much in addition, before the process is killed.
 SHUTDOWN_SLACK_S = 0.7
 # Time before the kill by which all requests are answered. The root may stall for 0.15 s when
-# SIGTERM arrives, and again when it answers; a busy one needs time to reject the rest and to exit.
-ANSWER_MARGIN_S = 0.4
+# SIGTERM arrives, and again when it answers.
+ANSWER_MARGIN_S = 0.3
 # Delay between the last answer and exit; short enough that the process ends before the kill.
 EXIT_DELAY_S = 0.1
 # Delay before retrying to bind an address that is still in use at startup.
--- a/tests/test_graceful_shutdown.py
+++ b/tests/test_graceful_shutdown.py
@@ -64,7 +64,7 @@
         assert (
             r.root.frontend.context.answer_by_s
             == answer_by_s
-            == pytest.approx(began_s + 0.6 + 0.7 - 0.4, abs=0.05)
+            == pytest.approx(began_s + 0.6 + 0.7 - 0.3, abs=0.05)
         )
         await trio.sleep_until(began_s + 1.0)
         client.send_bytes(request("r1", "read", (0,), timeout_ms=600))
