--- a/mothnotch/decisions/client_input.py
+++ b/mothnotch/decisions/client_input.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Hashable, Iterable
 from typing import Generic, Protocol, TypeVar
 
 # Maximum input of one client that is processed in one quantum, unless it is copied as it is. A
@@ -19,11 +20,68 @@
 # Time for processing all input that was received by the end of a shutdown: it precedes the kill.
 FINAL_INPUT_S = 0.05
 
+# Maximum size of one read while clients hold more than they may: most requests are shorter.
+SMALL_READ_BYTES = 2048
 # A client whose data comes this soon after a full read had written it before: the network held it
 # back until the root made room for it.
 REFILL_S = 0.05
 
 
+ClientT = TypeVar("ClientT", bound=Hashable)
+
+
+class InputBudget(Generic[ClientT]):
+    """The memory that clients' input takes: what was received, and the texts of open requests.
+
+    Bounds: `max_bytes` for all clients together and `max_client_bytes` for what one client sends
+    ahead. Beyond the total, a client that has not sent its request whole is asked to try again,
+    the one that holds most first, so that short requests are served beside large ones.
+    """
+
+    def __init__(self, max_bytes: int, max_client_bytes: int):
+        """Start without input."""
+        self.max_bytes = max_bytes
+        self.max_client_bytes = max_client_bytes
+        self.total_bytes = 0
+        self.most_bytes = 0
+        self._held_bytes = {}
+
+    @property
+    def is_exceeded(self) -> bool:
+        """Return whether the clients together hold more than they may."""
+        return self.total_bytes > self.max_bytes
+
+    def set(self, client: ClientT, held_bytes: int) -> None:
+        """Note how much a client holds now."""
+        before_bytes = self._held_bytes.get(client, 0)
+        if held_bytes == before_bytes:
+            return
+        self.total_bytes += held_bytes - before_bytes
+        if self.total_bytes > self.most_bytes:
+            self.most_bytes = self.total_bytes
+        self._held_bytes[client] = held_bytes
+
+    def remove(self, client: ClientT) -> None:
+        """Forget a client."""
+        self.total_bytes -= self._held_bytes.pop(client, 0)
+
+    def read_bytes(self, wanted_bytes: int) -> int:
+        """Return how much may be read of a client's input at once."""
+        return SMALL_READ_BYTES if self.is_exceeded else wanted_bytes
+
+    def may_read_ahead(self, client: ClientT) -> bool:
+        """Return whether more may be read of a client whose input cannot be processed yet."""
+        return not self.is_exceeded and self._held_bytes.get(client, 0) < self.max_client_bytes
+
+    def may_open(self, request_bytes: int) -> bool:
+        """Return whether a request may be opened that takes so much until it is answered."""
+        return request_bytes <= SMALL_READ_BYTES or self.total_bytes <= self.max_bytes
+
+    def largest(self, clients: Iterable[ClientT]) -> ClientT | None:
+        """Return which of the clients holds most; None if there is none."""
+        return max(clients, key=lambda client: self._held_bytes.get(client, 0), default=None)
+
+
 class WaitingClient(Protocol):
     """A client in the queue."""
 
@@ -31,10 +89,10 @@
     turn_quanta: int
 
 
-ClientT = TypeVar("ClientT", bound=WaitingClient)
+WaitingClientT = TypeVar("WaitingClientT", bound=WaitingClient)
 
 
-class InputQueue(Generic[ClientT]):
+class InputQueue(Generic[WaitingClientT]):
     """The clients whose input waits, in the order in which they get their next quantum.
 
     Clients that had no quantum since their input arrived, and those that had some, get quanta
@@ -54,7 +112,7 @@
         """Return the number of waiting clients."""
         return len(self._new) + len(self._resumed)
 
-    def add(self, client: ClientT, had_quantum: bool) -> None:
+    def add(self, client: WaitingClientT, had_quantum: bool) -> None:
         """Queue a client; `had_quantum`: some of its input has been processed already."""
         if 0 < client.turn_quanta < TURN_QUANTA:
             self._resumed.appendleft(client)
@@ -64,7 +122,7 @@
         else:
             self._new.append(client)
 
-    def pop(self) -> ClientT:
+    def pop(self) -> WaitingClientT:
         """Remove and return the next client; raise IndexError if none waits."""
         is_new = bool(self._new) and (self._is_new_next or not self._resumed)
         self._is_new_next = not is_new
--- a/mothnotch/decisions/resource_limits.py
+++ b/mothnotch/decisions/resource_limits.py
@@ -1,4 +1,4 @@
-"""Derive a root's connection limits and timeouts from its descriptors and settings.
+"""Derive a root's limits on connections, memory and times from those of its process.
 
 Pure. Of the descriptors that the process does not need itself, half are for clients: the platform
 states that they use at most a third, which leaves room for a wave of new connections while old ones
@@ -13,6 +13,14 @@
 RESERVED_DESCRIPTORS = 16
 # Minimum number of descriptors to divide, so that clients and leaves get some at any limit.
 MIN_SHARED_DESCRIPTORS = 8
+# Memory of a process that serves nobody. What exceeds it is shared: a quarter is for clients'
+# input, the rest for connections, leaves' answers and what the allocator does not return.
+IDLE_MEMORY_MB = 32
+INPUT_MEMORY_SHARE = 0.25
+# Minimum part of the memory that is shared, so that a root with little more than that serves.
+MIN_SHARED_MEMORY = 0.125
+# Maximum input that is buffered of one client ahead of its answers: some of the largest requests.
+MAX_CLIENT_INPUT_BYTES = 1 << 18
 # A graceful shutdown may take as long as the longest deadline of a query, but of that no more than
 # this ...
 MAX_SHUTDOWN_DEADLINE_S = 3.0
@@ -58,6 +66,9 @@
     shutdown_answer_s: float
     # Time for which a connection is still read after the client was asked to close it.
     linger_s: float
+    # Maximum memory for all clients' input, and for what one client sends ahead.
+    max_input_bytes: int
+    max_client_input_bytes: int
 
 
 def shutdown_answer_s(longest_deadline_us: int) -> float:
@@ -69,13 +80,17 @@
     return longest_s + SHUTDOWN_SLACK_S - ANSWER_MARGIN_S
 
 
-def derive_limits(descriptors: int, idle_us: int, longest_deadline_us: int) -> ResourceLimits:
-    """Return the limits for a root with that number of file descriptors.
+def derive_limits(
+    descriptors: int, memory_mb: float, idle_us: int, longest_deadline_us: int
+) -> ResourceLimits:
+    """Return the limits for a root with that number of file descriptors and that much memory.
 
     `idle_us`: idle time after which its leaves close a connection. `longest_deadline_us`: the
     longest deadline of any query class.
     """
     shared = max(MIN_SHARED_DESCRIPTORS, descriptors - RESERVED_DESCRIPTORS)
+    shared_mb = max(MIN_SHARED_MEMORY * memory_mb, memory_mb - IDLE_MEMORY_MB)
+    max_input_bytes = int(INPUT_MEMORY_SHARE * shared_mb * (1 << 20))
     return ResourceLimits(
         max_clients=shared // 2,
         max_leaf_connections=shared // 4,
@@ -86,6 +101,8 @@
         shutdown_accept_s=0.55,
         shutdown_answer_s=shutdown_answer_s(longest_deadline_us),
         linger_s=0.5,
+        max_input_bytes=max_input_bytes,
+        max_client_input_bytes=min(MAX_CLIENT_INPUT_BYTES, max_input_bytes),
     )
 
 
--- a/mothnotch/fronts/pg.py
+++ b/mothnotch/fronts/pg.py
@@ -118,7 +118,8 @@
 
     def receive_unread(self):
         """Receive input that has arrived but was not read yet; return whether there was any."""
-        data = self.frontend.network.receive_now(self.stream, READ_BYTES)
+        found = self.frontend.network.receive_now(self.stream, READ_BYTES)
+        data = found and found[0]
         if data:
             self.wire.receive(data)
             self.data_received.set()
--- a/mothnotch/net/memory.py
+++ b/mothnotch/net/memory.py
@@ -269,9 +269,17 @@
         """Wait for data; return at most `max_bytes`, b"" at EOF, and the time of the read."""
         return await stream.receive_some(max_bytes), trio.current_time()
 
-    def receive_now(self, stream: MemoryStream, max_bytes: int) -> bytes | None:
-        """Return at most `max_bytes` of buffered data, b"" at EOF, None if there is none."""
-        return stream.receive_now(max_bytes)
+    def receive_now(self, stream: MemoryStream, max_bytes: int) -> tuple[bytes, float] | None:
+        """Return at most `max_bytes` of buffered data, b"" at EOF, and the time of the read.
+
+        Return None if there is none.
+        """
+        data = stream.receive_now(max_bytes)
+        return None if data is None else (data, trio.current_time())
+
+    async def discard(self, stream: MemoryStream, max_bytes: int) -> int:
+        """Wait for data; drop at most `max_bytes` and return their number, 0 at EOF."""
+        return len(await stream.receive_some(max_bytes))
 
     def max_unread_age_s(self) -> float:
         """Return 0: the arrival time of in-memory data is the time of the read."""
--- a/mothnotch/net/sockets.py
+++ b/mothnotch/net/sockets.py
@@ -92,6 +92,8 @@
         # Created with the first configured stream.
         self._arrival_clock = None
         self._on_held_up = None
+        # Receives what is discarded; no task waits between writing it and dropping it.
+        self._discard_buffer = bytearray()
 
     def report_hold_ups(self, on_held_up: Callable[[float], None]) -> None:
         """Call `on_held_up(duration_s)` whenever the event loop did not poll the sockets for long.
@@ -184,33 +186,52 @@
             # Always wait: one read per scheduler pass, so that no peer delays the others.
             await trio.lowlevel.wait_readable(sock)
             try:
-                data, ancillary, _, _ = sock.recvmsg(max_bytes, _ANCILLARY_BYTES)
+                return self._receive_dated(sock, max_bytes)
             except OSError as error:
                 if error.errno not in TRANSIENT_ERRNOS:
                     raise
                 await trio.sleep(RETRY_PAUSE_S if error.errno != errno.EAGAIN else 0)
                 if sock.fileno() < 0:
                     raise trio.ClosedResourceError("this stream was closed") from error
-                continue
-            now_s = trio.current_time()
-            clock = self._arrival_clock
-            if clock is not None and ancillary and len(ancillary[0][2]) == _TIMESTAMP.size:
-                seconds, nanos = _TIMESTAMP.unpack(ancillary[0][2])
-                return data, clock.arrival(seconds + nanos / 1e9, now_s)
-            return data, now_s
 
-    def receive_now(self, stream, max_bytes: int) -> bytes | None:
-        """Return at most `max_bytes` of the data available now, b"" at EOF.
+    def _receive_dated(self, sock, max_bytes):
+        """Read, and return the data with the time at which the kernel received the last of them."""
+        data, ancillary, _, _ = sock.recvmsg(max_bytes, _ANCILLARY_BYTES)
+        now_s = trio.current_time()
+        clock = self._arrival_clock
+        if clock is not None and ancillary and len(ancillary[0][2]) == _TIMESTAMP.size:
+            seconds, nanos = _TIMESTAMP.unpack(ancillary[0][2])
+            return data, clock.arrival(seconds + nanos / 1e9, now_s)
+        return data, now_s
+
+    def receive_now(self, stream, max_bytes: int) -> tuple[bytes, float] | None:
+        """Return at most `max_bytes` of the data available now, b"" at EOF, and their arrival time.
 
         Return None if there is none, or after a transient error.
         """
         try:
-            return stream.socket._sock.recv(max_bytes)
+            return self._receive_dated(stream.socket._sock, max_bytes)
         except OSError as error:
             if error.errno in TRANSIENT_ERRNOS:
                 return None
             raise
 
+    async def discard(self, stream, max_bytes: int) -> int:
+        """Wait for data; read at most `max_bytes`, keep none, and return their number, 0 at EOF."""
+        sock = stream.socket._sock
+        while True:
+            await trio.lowlevel.wait_readable(sock)
+            if len(self._discard_buffer) < max_bytes:
+                self._discard_buffer = bytearray(max_bytes)
+            try:
+                return sock.recv_into(self._discard_buffer, max_bytes)
+            except OSError as error:
+                if error.errno not in TRANSIENT_ERRNOS:
+                    raise
+                await trio.sleep(RETRY_PAUSE_S)
+                if sock.fileno() < 0:
+                    raise trio.ClosedResourceError("this stream was closed") from error
+
     def has_unread(self, stream) -> bool:
         """Return, without waiting, whether more data can be read; an end or error is none."""
         try:
--- a/mothnotch/node/arrival_times.py
+++ b/mothnotch/node/arrival_times.py
@@ -1,12 +1,14 @@
 """Arrival times of a connection's bytes: a request's timeout counts from the request's own last
 byte, not from bytes that follow it.
 
-Bound: one entry for each read whose bytes are not consumed yet; the connection bounds the bytes
-that it reads ahead.
+Bound: MAX_READS entries, one for each read whose bytes are not consumed yet.
 """
 
 from collections import deque
 
+# Maximum number of reads that are told apart; beyond it, the newest two are taken for one.
+MAX_READS = 64
+
 
 class ArrivalTimes:
     """The reads of a connection whose bytes are not consumed yet. Times are on trio's clock."""
@@ -25,6 +27,8 @@
     def add(self, size_bytes: int, last_s: float, first_s: float):
         """Add a read, given the arrival times of its last and its first byte."""
         self.total_bytes += size_bytes
+        if len(self.reads) >= MAX_READS:
+            first_s = self.reads.pop()[2]
         self.reads.append((self.total_bytes, last_s, first_s))
 
     def take_until(self, end_bytes: int) -> float | None:
--- a/mothnotch/node/call_writer.py
+++ b/mothnotch/node/call_writer.py
@@ -65,11 +65,12 @@
             connection.send(data)
 
     def _has_unread_disconnect(self, attempt):
-        """Return whether the attempt's client has disconnected, checked only after a stall.
+        """Return whether the attempt's client may have disconnected without being noticed.
 
-        After a stall of the root, a disconnect may be unread in the client's socket.
+        After a stall of the root, a disconnect may be unread in the client's socket. It cannot be
+        read while too much input is before it.
         """
-        return (
+        return attempt.part.query.client_is_unseen or (
             connection_policy.client_may_have_disconnected(self.context.network.max_unread_age_s())
             and attempt.part.query.has_disconnected()
         )
--- a/mothnotch/node/client_connection.py
+++ b/mothnotch/node/client_connection.py
@@ -1,37 +1,25 @@
 """A client's connection: receives HTTP requests and sends the answers in order.
 
-`RequestReader` splits the input into requests, in quanta that `InputScheduler` grants. Pipelined
-requests behind an open one are buffered up to a bound, and read once that has its answer.
-`client_connections` decides when the connection is closed.
+`ReceivedInput` holds the input and splits it into requests, in quanta that `InputScheduler` grants.
+Pipelined requests behind an open one are buffered up to a bound, and processed once that has its
+answer; beyond the bound the client is not read. `client_connections` decides when the connection is
+closed.
 """
 
-import math
-
 import h11
 import trio
 
-from mothnotch.decisions.client_input import (
-    INPUT_QUANTUM_BYTES,
-    unprocessed_deadline_s,
-    was_held_back,
-)
+from mothnotch.decisions.client_input import INPUT_QUANTUM_BYTES, unprocessed_deadline_s
 from mothnotch.net import CONNECTION_LOST_ERRORS
 from mothnotch.net.write_buffer import BufferedWriter
 from mothnotch.node import requests
-from mothnotch.node.arrival_times import ArrivalTimes
 from mothnotch.node.closing import ClientCloseReason
-from mothnotch.node.request_reader import RequestReader
-
-# Maximum size of one read.
-READ_BYTES = 1 << 15
-# Maximum size of pipelined requests that are buffered while one is open: otherwise one client could
-# exhaust the root's memory.
-MAX_PIPELINED_BYTES = 1 << 16
-# No more requests than this fit into the buffer, as none is shorter than 128 bytes.
-MAX_PIPELINED_REQUESTS = MAX_PIPELINED_BYTES // 128
-# Maximum size of one read of discarded data, and of all data discarded after a last answer. The
-# rest of a body of 64 KiB in chunks of one byte is less.
+from mothnotch.node.received_input import READ_BYTES, ReceivedInput
+
+# Maximum size of all data discarded after a last answer. The rest of a body of 64 KiB in chunks of
+# one byte is less.
 MAX_DISCARDED_BYTES = 1 << 19
+BUSY = requests.encode({"error": "busy; asking again is harmless"})
 JSON = "application/json"
 TEXT = "text/plain"
 
@@ -44,8 +32,8 @@
     `arrived_s`: arrival time of the last byte of the current request. `pipelined_bytes`: bytes
     received behind it. `partial_line`: the last of these from the last line feed on. `partial`:
     part of a next request was received. `is_queued`: received input waits to be processed, and no
-    more is read. `truncated`: more pipelined bytes came than are buffered, and further input is
-    ignored. `closing`: the last answer was given; `lingering`: and it is written completely.
+    more is read. `is_all_read`: all that the client has sent was read when the current step began.
+    `closing`: the last answer was given; `lingering`: and it is written completely.
     """
 
     def __init__(self, connections, handler, nursery, stream):
@@ -54,22 +42,16 @@
         self.context = connections.context
         self.connections = connections
         self.handler = handler
-        self.reader = RequestReader()
+        self.input = ReceivedInput(self.network, self.network.pending_since(stream))
+        self.reader = self.input.reader
         self.http = self.reader.http
         self.query = None
         self.request_id = None
         self.head = None
         self.body = bytearray()
+        self.open_bytes = 0
         self.since_s = trio.current_time()
-        self.arrivals = ArrivalTimes()
-        # Whether a read of the current request was full, so that its rest may be held back by the
-        # network; the earliest time at which that may have been written; the time of the last read.
-        self.had_full_read = False
-        self.written_since_s = self.since_s
-        self.last_read_s = self.since_s
         self.turn_quanta = 0
-        # For the first read: its first bytes may be as old as the connection.
-        self.waited_since_s = self.network.pending_since(stream)
         self.arrived_s = self.since_s
         self.pipelined_bytes = 0
         self.partial_line = b""
@@ -77,8 +59,8 @@
         self.partial = False
         self.is_queued = False
         self.queued_at_s = 0.0
-        self.input_processed = trio.Event()
-        self.truncated = False
+        self.is_all_read = False
+        self._reading_resumed = trio.Event()
         self.served = False
         self.closing = False
         self.lingering = False
@@ -102,9 +84,26 @@
         """
         if self.closing or self.query is not None:
             return False
-        return self.is_queued or (
-            self.had_full_read and was_held_back(trio.current_time() - self.last_read_s)
-        )
+        return self.is_queued or self.input.may_be_held_back
+
+    @property
+    def may_read(self) -> bool:
+        """Return whether more may be read: it can be processed, or there is room to buffer it."""
+        if self.is_queued:
+            return False
+        can_process = self.query is None and not self.unsent
+        return can_process or self.connections.input_budget.may_read_ahead(self)
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Return whether part of a request was processed, and its client has to send the rest."""
+        return self.partial and self.query is None and not (self.is_queued or self.closing)
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that its input takes."""
+        head_bytes = 0 if self.head is None else len(self.head.target)
+        return self.input.size_bytes + len(self.body) + head_bytes + self.open_bytes
 
     def expires_s(self, limits) -> float | None:
         """Return when the sweep must end it by its limits; None while a query is open.
@@ -117,7 +116,7 @@
             return self.since_s + limits.send_timeout_s
         if self.is_behind:
             timeout_ms = None if self.head is None else requests.timeout_ms(self.head.headers)
-            return unprocessed_deadline_s(self.written_since_s, timeout_ms)
+            return unprocessed_deadline_s(self.input.written_since_s, timeout_ms)
         if self.query is not None:
             return None
         if self.served and not self.partial:
@@ -134,22 +133,71 @@
             self.connections.close(self, ClientCloseReason.LEFT)
             return
         if self.closing:
-            self._discard(data)
+            self.on_discarded(len(data))
             return
-        if self.truncated:
-            return
-        if self.query is not None or self.unsent:
-            self.pipelined_bytes += len(data)
-            if self.pipelined_bytes > MAX_PIPELINED_BYTES:
-                # Buffered requests are answered, then the connection ends with an error.
-                self.truncated = True
+        if self._may_process():
+            if not self.partial:
+                self.partial = True
+                self.since_s = at_s
+            self.input.add(data, at_s)
+            self.connections.scheduler.process(self)
+        else:
+            self._buffer(data, at_s)
+            self._read_ahead()
+        self.note_held_bytes()
+
+    def _buffer(self, data, at_s):
+        """Buffer data that cannot be processed yet, as an answer is open or unsent."""
+        self.pipelined_bytes += len(data)
+        self.handler.shorten_deadline(self, data, at_s)
+        self.input.add(data, at_s)
+        self.note_held_bytes()
+
+    def _read_ahead(self):
+        """Read what has arrived behind an open request, to see whether its client has left. If
+        there is no room for all of it, that cannot be seen any more.
+        """
+        while self.may_read and not self.is_closed:
+            found = self._receive_now()
+            if not found:
                 return
-            self.handler.shorten_deadline(self, data, at_s)
-        elif not self.partial:
-            self.partial = True
-            self.since_s = at_s
-        self._receive(data, at_s)
-        self.connections.scheduler.process(self)
+            self._buffer(*found)
+        if self.query is not None:
+            self.context.core.lose_sight_of_client(self.query)
+
+    def _receive_now(self):
+        """Return data that has arrived, with its time; None if there is none. The end of the
+        stream closes the connection.
+        """
+        try:
+            found = self.network.receive_now(self.stream, READ_BYTES)
+        except CONNECTION_LOST_ERRORS:
+            found = b"", 0.0
+        self.is_all_read = found is None
+        if found is not None and not found[0]:
+            self.connections.close(self, ClientCloseReason.LEFT)
+            return None
+        return found
+
+    def _sees_all_input(self) -> bool:
+        """Read what has arrived, and return whether that is all, and the client has not left.
+
+        The end of a client's stream may follow what is unread.
+        """
+        while not self.is_all_read and not self.is_closed:
+            has_room = self.connections.input_budget.may_read_ahead(self)
+            if not has_room and self.network.has_unread(self.stream):
+                return False
+            found = self._receive_now()
+            if found:
+                self.input.add(*found)
+                self.note_held_bytes()
+        return not self.is_closed
+
+    def note_held_bytes(self):
+        """Account for the memory that its input takes."""
+        if not self.is_closed:
+            self.connections.input_budget.set(self, self.held_bytes)
 
     def process_quantum(self) -> bool:
         """Process received data until it is consumed, a request ends or the quantum is used;
@@ -170,24 +218,18 @@
                     return self._may_process()
             else:  # NEED_DATA
                 self._on_need_data()
-                return self.had_full_read and self.partial and self._receive_rest()
+                return self.input.had_full_read and self.partial and self._receive_rest()
         return False
 
     def _receive_rest(self):
         """Read more of a request without waiting, so that the connection keeps its turn; return
         whether there was any.
         """
-        try:
-            data = self.network.receive_now(self.stream, READ_BYTES)
-        except CONNECTION_LOST_ERRORS:
-            data = b""
-        if data is None:
-            return False
-        if not data:
-            self.connections.close(self, ClientCloseReason.LEFT)
+        found = self._receive_now()
+        if not found:
             return False
         # When it arrived is not known: since the last read.
-        self._receive(data, self.last_read_s)
+        self.input.add(found[0], self.input.last_read_s)
         return True
 
     def _may_process(self):
@@ -198,40 +240,32 @@
         """Note that received input waits to be processed."""
         self.is_queued = True
         self.queued_at_s = trio.current_time()
-        self.input_processed = trio.Event()
+        self.is_all_read = False
 
     def on_dequeued(self):
         """Note that all input was processed that can be; the wait for it was the root's."""
         self.is_queued = False
         if self.partial and not self.closing:
             self.since_s += trio.current_time() - self.queued_at_s
-        self.input_processed.set()
+        self._reading_resumed.set()
+
+    def on_closed(self):
+        """Release its input, and wake the task that reads it."""
+        self._drop_input()
+        self._reading_resumed.set()
 
-    def _discard(self, data):
+    async def wait_until_read(self):
+        """Wait until more may be read, or the connection has ended."""
+        while not (self.may_read or self.is_closed):
+            self._reading_resumed = trio.Event()
+            await self._reading_resumed.wait()
+
+    def on_discarded(self, size_bytes: int):
         """Count data received after the last answer; too much of it closes the connection."""
-        self.discarded_bytes += len(data)
+        self.discarded_bytes += size_bytes
         if self.lingering and self.discarded_bytes > MAX_DISCARDED_BYTES:
             self.connections.close(self, ClientCloseReason.TOO_MUCH_BEHIND)
 
-    def _receive(self, data, at_s):
-        """Buffer data, and record its arrival time.
-
-        Data behind a full read may be as old as that: the client may have written it already, but
-        the network held it back until the root made room for it.
-        """
-        if not self.reader.received:
-            self.arrivals.clear()
-        first_s = min(self.network.earliest_arrival(at_s), self.waited_since_s)
-        self.waited_since_s = math.inf
-        if self.had_full_read and was_held_back(at_s - self.last_read_s):
-            first_s = self.written_since_s
-            at_s = first_s
-        self.written_since_s = first_s
-        self.last_read_s = trio.current_time()
-        self.had_full_read = self.had_full_read or len(data) >= READ_BYTES
-        self.arrivals.add(len(data), at_s, first_s)
-        self.reader.received += data
-
     def _has_more_input(self):
         """Return whether data beyond the current request was received, reading from the socket if
         necessary.
@@ -239,21 +273,17 @@
         if self.reader.received:
             return True
         try:
-            data = self.network.receive_now(self.stream, READ_BYTES)
+            found = self.network.receive_now(self.stream, READ_BYTES)
         except CONNECTION_LOST_ERRORS:
             return False
-        if data:
-            self.pipelined_bytes += len(data)
-            self._receive(data, trio.current_time())
-        return bool(data)
+        if not found or not found[0]:
+            return False
+        self._buffer(*found)
+        return True
 
     def _on_need_data(self):
         """Handle that all data is consumed but the start of a next request."""
         self.partial = self.head is not None or bool(self.reader.received)
-        if self.truncated:
-            raise requests.BadRequestError(
-                413, f"more than {MAX_PIPELINED_BYTES} bytes sent ahead of an answer"
-            )
         if self.context.stopping and self.served and not self.partial:
             # No byte of a next request was received, so the last answer has been given.
             self.closing = True
@@ -273,14 +303,21 @@
         self.body = bytearray()
         self.partial = False
         self.turn_quanta = 0
-        self.had_full_read = False
-        # The remaining bytes belong to the next request.
-        self.pipelined_bytes = len(self.reader.received)
-        arrived_s = self.arrivals.take_until(self.arrivals.total_bytes - self.pipelined_bytes)
+        arrived_s = self.input.end_request(self.is_all_read)
         if arrived_s is not None:
             self.arrived_s = arrived_s
+        sees_all = self._sees_all_input()
+        if self.is_closed:
+            return
+        # The remaining bytes belong to the next request.
+        self.pipelined_bytes = self.input.size_bytes
         path, _, query_string = head.target.decode("latin-1").partition("?")
         if path == "/api" and head.method == b"POST":
+            if not sees_all or not self.connections.input_budget.may_open(len(body)):
+                self.context.counts["too_far_ahead"] += 1
+                self.answer(503, BUSY)
+                return
+            self.open_bytes = len(body)
             self.handler.submit(self, query_string, head.headers, bytes(body))
         elif path in ("/-/ready", "/-/healthy") and head.method in (b"GET", b"HEAD"):
             is_ready = path == "/-/healthy" or self.context.is_ready()
@@ -301,7 +338,7 @@
         close: bool = False,
     ):
         """Send the answer to the current request; `close`: it is the last on this connection."""
-        if not close and self.context.stopping and not self.truncated:
+        if not close and self.context.stopping:
             close = not self._has_more_input()
         headers = [("Content-Type", content_type), ("Content-Length", str(len(body)))]
         if retry_after_us:
@@ -313,6 +350,8 @@
             data += self.http.send(h11.Data(data=body))
         data += self.http.send(h11.EndOfMessage())
         self.query = None
+        self.open_bytes = 0
+        self.is_all_read = False
         self.reader.method = None
         self.since_s = trio.current_time()
         self.served = True
@@ -321,8 +360,18 @@
         if not self.closing:
             self.http.start_next_cycle()
         self.send(data)
-        if self.closing and not self.unsent:
-            self.connections.half_close(self)
+        if self.closing:
+            self._drop_input()
+            if not self.unsent:
+                self.connections.half_close(self)
+        self.note_held_bytes()
+        self._reading_resumed.set()
+
+    def _drop_input(self):
+        """Drop what was received behind the last answer."""
+        self.input.drop()
+        self.head = None
+        self.body = bytearray()
 
     def fail(self, status: int, text: str):
         """Answer an invalid request with an error, and end the connection, as data that follows an
@@ -345,9 +394,7 @@
         self.context.counts["unprocessed"] += 1
         self.on_dequeued()
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self.answer(
-                503, requests.encode({"error": "busy; asking again is harmless"}), close=True
-            )
+            self.answer(503, BUSY, close=True)
 
     def on_write_drained(self):
         """Continue after an answer that had to wait for the socket is written."""
@@ -355,6 +402,7 @@
             self.connections.half_close(self)
         else:
             self.connections.scheduler.process(self)
+            self._reading_resumed.set()
 
     def on_connection_lost(self):
         """Close the connection, as its stream is lost."""
--- a/mothnotch/node/client_connections.py
+++ b/mothnotch/node/client_connections.py
@@ -12,13 +12,15 @@
 import trio
 
 from mothnotch.decisions import resource_limits
+from mothnotch.decisions.client_input import InputBudget
 from mothnotch.decisions.invariants import Invariant
 from mothnotch.net import CONNECTION_LOST_ERRORS, close_now
 from mothnotch.node import requests
-from mothnotch.node.client_connection import READ_BYTES, ClientConnection
+from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.closing import ClientCloseReason
 from mothnotch.node.frontend_context import FrontendContext
 from mothnotch.node.input_scheduler import InputScheduler
+from mothnotch.node.received_input import READ_BYTES
 from mothnotch.node.request_handler import RequestHandler
 
 # Interval of checking the timeouts: short compared with the shortest of them (linger_s).
@@ -34,6 +36,8 @@
         self.handler = handler
         self.clients = {}  # an ordered set: connections as keys, in the order of accepting
         self.closed = dict.fromkeys(ClientCloseReason, 0)
+        limits = context.resource_limits
+        self.input_budget = InputBudget(limits.max_input_bytes, limits.max_client_input_bytes)
         self.scheduler = InputScheduler(context.loop_monitor, self._run_quantum)
 
     def add(self, client: ClientConnection):
@@ -69,7 +73,9 @@
         return None
 
     def _run_quantum(self, client):
-        return self.run_step(client, client.process_quantum)
+        has_more = self.run_step(client, client.process_quantum)
+        client.note_held_bytes()
+        return has_more
 
     def on_unexpected_error(self, client: ClientConnection, error: Exception):
         """End a connection after an unexpected error; its open request is answered with an error.
@@ -85,6 +91,27 @@
         if not client.lingering:
             self.close(client, ClientCloseReason.DEFECT)
 
+    def reduce_input(self):
+        """Reject requests that are not received completely, the largest first, until the memory for
+        clients' input suffices.
+        """
+        while self.input_budget.is_exceeded:
+            client = self.input_budget.largest(
+                client for client in self.clients if client.is_unfinished
+            )
+            if client is None:
+                return
+            self.context.counts["input_shed"] += 1
+            self.context.log.warning(
+                "clients' input exceeds its memory",
+                total_bytes=self.input_budget.total_bytes,
+                clients=len(self.clients),
+                largest_bytes=client.held_bytes,
+            )
+            self.run_step(client, client.reject_unprocessed)
+            if client.held_bytes:
+                self.close(client, ClientCloseReason.DEFECT)
+
     # ---- closing ----
 
     def half_close(self, client: ClientConnection):
@@ -123,18 +150,21 @@
                 ahead_bytes=client.pipelined_bytes,
             )
         self.clients.pop(client, None)
+        self.input_budget.remove(client)
+        client.on_closed()
         close_now(client.stream)
         self.handler.abandon(client)
 
     def receive_unread(self, client: ClientConnection) -> bool:
         """Process data that has arrived but was not read yet; return whether there was any."""
         try:
-            data = self.context.network.receive_now(client.stream, READ_BYTES)
+            found = self.context.network.receive_now(client.stream, READ_BYTES)
         except CONNECTION_LOST_ERRORS:
             return False
-        if data:
-            self.run_step(client, client.feed, data, trio.current_time())
-        return bool(data)
+        if not found or not found[0]:
+            return False
+        self.run_step(client, client.feed, *found)
+        return True
 
     def confirm_idle(self, client: ClientConnection) -> bool:
         """Return whether an idle connection may be closed: it has no unread data. If it has some,
--- a/mothnotch/node/frontend.py
+++ b/mothnotch/node/frontend.py
@@ -2,28 +2,28 @@
 
 The time for processing clients' input in one pass of the event loop is bounded, and clients are
 served in turn; a connection whose input waits is not read. Bounds: a head of 16 KiB, a body of
-64 KiB, and one open request per connection, with 64 KiB of pipelined requests buffered behind it.
-Buffered requests are answered; bytes beyond the buffer are read and discarded, and the connection
-ends with an error.
+64 KiB, one open request per connection, and the memory for pipelined requests behind it. A client
+that sends more ahead is not read until its requests are answered; they are rejected for as long as
+it cannot be seen whether the client has left.
 """
 
 import trio
 
 from mothnotch.decisions.client_input import FINAL_INPUT_S
 from mothnotch.net import CONNECTION_LOST_ERRORS, RETRY_PAUSE_S, serve
-from mothnotch.node.client_connection import (
-    MAX_DISCARDED_BYTES,
-    MAX_PIPELINED_REQUESTS,
-    READ_BYTES,
-    ClientConnection,
-)
+from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.client_connections import ClientConnections
 from mothnotch.node.closing import ClientCloseReason
 from mothnotch.node.frontend_context import FrontendContext
+from mothnotch.node.received_input import READ_BYTES
 from mothnotch.node.request_handler import RequestHandler
 
-# Pause between two reads of discarded data, which bounds their cost to other clients.
+# Pause between two reads of discarded data, which bounds their cost to other clients, and the
+# maximum size of each.
 DISCARD_PAUSE_S = 0.01
+DISCARD_BYTES = 1 << 18
+# No request is shorter, so that so many fit into what may be buffered of a client.
+MIN_REQUEST_BYTES = 128
 
 
 class HttpFrontend:
@@ -73,27 +73,36 @@
     async def _read_client(self, client):
         """Read a connection and process its data until it is closed."""
         network = self.context.network
+        budget = self.connections.input_budget
         while not client.is_closed:
-            max_bytes = READ_BYTES
-            if client.lingering or client.truncated:
-                await trio.sleep(DISCARD_PAUSE_S)
-                max_bytes = MAX_DISCARDED_BYTES
-                if client.is_closed:
-                    return
-            data, at_s = await network.receive(client.stream, max_bytes)
+            if client.closing:
+                await self._discard_input(client)
+                continue
+            data, at_s = await network.receive(client.stream, budget.read_bytes(READ_BYTES))
             if client.is_closed:
                 return
             if data and client.query is None:
                 # No work is started for a client that has already disconnected: detect the end of
                 # its stream before processing its request.
-                more = network.receive_now(client.stream, READ_BYTES)
-                if more == b"":
-                    data = b""
-                elif more:
-                    data = data + more
+                more = network.receive_now(client.stream, budget.read_bytes(READ_BYTES))
+                client.is_all_read = more is None
+                if more is not None:
+                    data = data + more[0] if more[0] else b""
             self.connections.run_step(client, client.feed, data, at_s)
-            if client.is_queued:
-                await client.input_processed.wait()
+            if budget.is_exceeded:
+                self.connections.reduce_input()
+            if not client.may_read:
+                await client.wait_until_read()
+
+    async def _discard_input(self, client):
+        """Read and drop what follows the last answer."""
+        await trio.sleep(DISCARD_PAUSE_S)
+        if client.is_closed:
+            return
+        size_bytes = await self.context.network.discard(client.stream, DISCARD_BYTES)
+        if not size_bytes:
+            self.connections.close(client, ClientCloseReason.LEFT)
+        client.on_discarded(size_bytes)
 
     def _on_accept_failed(self, error):
         self.context.log.error("cannot accept a connection", error=str(error))
@@ -129,7 +138,7 @@
         for client in list(self.connections.clients):
             if not client.is_queued:
                 self.connections.receive_unread(client)
-        for _ in range(MAX_PIPELINED_REQUESTS):
+        for _ in range(self.connections.input_budget.max_client_bytes // MIN_REQUEST_BYTES):
             self.connections.scheduler.process_all(until_s)
             if not self.context.core.end_open_queries():
                 break
--- a/mothnotch/node/frontend_context.py
+++ b/mothnotch/node/frontend_context.py
@@ -17,6 +17,8 @@
         "shed": 0,
         "slow": 0,
         "unprocessed": 0,
+        "too_far_ahead": 0,
+        "input_shed": 0,
     }
 
 
--- a/mothnotch/node/root.py
+++ b/mothnotch/node/root.py
@@ -49,6 +49,7 @@
         settings = config.settings
         self.resource_limits = derive_limits(
             config.limits.sockets,
+            config.limits.memory_mb,
             config.leaf_idle_close_us,
             max(query_class.deadline_us for query_class in settings.classes.values()),
         )
@@ -141,6 +142,7 @@
             **self.pool.counts,
             **self.frontend.context.counts,
             "open_clients": len(connections.clients),
+            "most_input_bytes": connections.input_budget.most_bytes,
             "open_links": self.pool.open_count,
             "violations": self.core.violations.counts,
             "clients_closed": _by_name(connections.closed),
--- a/mothnotch/root/actions.py
+++ b/mothnotch/root/actions.py
@@ -62,6 +62,10 @@
             # final answer.
             attempt.complete(Result.UNSENT)
             return
+        if part.query.client_is_unseen:
+            attempt.complete(Result.UNSENT)
+            core.shorten_deadline(part.query, core.dispatcher.now_us)
+            return
         core.counts["sends"] += 1
         if core.trace.enabled:
             core.trace.record(
--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -196,6 +196,13 @@
             self.deadlines.end(query)
         return len(queries)
 
+    def lose_sight_of_client(self, query: Query):
+        """Begin no attempt of a query any more, as it cannot be seen whether its client has left.
+
+        It is answered with the attempts that are in flight, and ends once it needs another.
+        """
+        query.client_is_unseen = True
+
     def client_disconnected(self, query: Query):
         """Close a query whose client disconnected, if it is open, without reporting an outcome."""
         if query.outcome is None:
--- a/mothnotch/root/request_table.py
+++ b/mothnotch/root/request_table.py
@@ -61,6 +61,8 @@
     outcome: Outcome | None = None
     # The storage of its rows; None before the first row.
     storage: object = None
+    # Whether its client's leaving cannot be seen, so that no attempt may begin any more.
+    client_is_unseen: bool = False
     # Whether the balancer knows that the query has ended, so that it sends no new attempts.
     released: bool = False
 
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -10,6 +10,10 @@
 
 FLOOD_S = 3.0
 HUNDREDS = 300
+# Nearly as many as a root of 1,024 descriptors has for clients.
+MOST_CLIENTS = 480
+# What one client may add to the memory of a root.
+GROWTH_KB = 4096
 
 
 async def check_flood(tmp_path, *loads, **options):
@@ -27,3 +31,36 @@
     parsing delays the answers of others.
     """
     await check_flood(tmp_path, (kind, HUNDREDS))
+
+
+@on_real_sockets
+@pytest.mark.parametrize("kind", ["slow-writes", "half-body", "nearly-whole-body"])
+async def test_hundreds_that_write_slowly_or_stop_in_a_large_request(tmp_path, kind):
+    """Guards against large requests that are awaited for so many clients that they fill the
+    memory (operators' picture (a)).
+    """
+    await check_flood(tmp_path, (kind, MOST_CLIENTS))
+
+
+@on_real_sockets
+@pytest.mark.parametrize(
+    "kind", ["many-requests", "many-requests-unread", "many-small-requests-and-leave"]
+)
+async def test_hundreds_that_send_many_requests_at_once(tmp_path, kind):
+    """Guards against what is read of clients that are far ahead, as it is dropped or buffered
+    (review/7).
+    """
+    await check_flood(tmp_path, (kind, HUNDREDS))
+
+
+@on_real_sockets
+@pytest.mark.parametrize(
+    "kind", ["sound-stream", "keyed-stream", "long-names", "ready-stream", "unknown-class", "noise"]
+)
+async def test_one_client_at_full_speed(tmp_path, kind):
+    """Guards against small or unsound requests of one client that delay others or fill the memory,
+    also under ever new names (operators' picture (b)).
+    """
+    flood = await check_flood(tmp_path, (kind, 1))
+    assert flood.most_memory_kb - flood.start_memory_kb < GROWTH_KB
+    assert set(flood.statuses) == {200}
