--- a/mothnotch/node/request_handler.py
+++ b/mothnotch/node/request_handler.py
@@ -1,12 +1,15 @@
 """Submit clients' requests to the core, and send each answer in the turn that decides it."""
 
 from mothnotch.decisions import resource_limits
+from mothnotch.decisions.interface import Idempotency
 from mothnotch.decisions.invariants import Invariant
 from mothnotch.decisions.outcomes import FinalStatus
+from mothnotch.decisions.recent_ids import REMEMBERED_DEADLINES, RecentIds
 from mothnotch.decisions.watch_policy import NOT_READY_RETRY_AFTER_US
 from mothnotch.node import requests
 from mothnotch.node.client_connection import ClientConnection
 from mothnotch.node.frontend_context import FrontendContext
+from mothnotch.root.clock import now_us
 from mothnotch.root.core import OverloadedError
 
 # Maximum length of an incomplete line that is kept until its rest is received.
@@ -20,6 +23,9 @@
         """Start without open requests."""
         self.context = context
         self.open_request_ids = set()
+        classes = context.core.settings.classes.values()
+        longest_us = max(query_class.deadline_us for query_class in classes)
+        self.recent_ids = RecentIds(REMEMBERED_DEADLINES * longest_us)
 
     def submit(self, client: ClientConnection, query_string: str, headers, body: bytes):
         """Submit a request to the core; raise BadRequestError if it is invalid."""
@@ -35,6 +41,8 @@
         )
         if request_id in self.open_request_ids:
             raise requests.BadRequestError(409, "X-Request-ID: that request is open")
+        if self.recent_ids.contains(request_id, now_us()):
+            raise requests.BadRequestError(409, "X-Request-ID: that request may have run")
         self.context.counts["requests"] += 1
         if not self.context.is_ready():
             self._reject_not_ready(client)
@@ -93,9 +101,17 @@
             return
         query = client.query
         client.query = None
-        self.open_request_ids.discard(client.request_id)
+        self._close_id(client.request_id, query)
         self.context.core.client_disconnected(query)
 
+    def _close_id(self, request_id, query):
+        """Note that a request has ended, and remember its id if it must not come again."""
+        self.open_request_ids.discard(request_id)
+        query_class = self.context.core.settings.classes[query.request.class_name]
+        is_safe = query_class.idempotency is Idempotency.IDEMPOTENT
+        if query.may_still_run or (query.may_have_run and not is_safe):
+            self.recent_ids.add(request_id, now_us())
+
     def finish(self, client: ClientConnection, query, outcome):
         """Send the final answer of a client's query, then process its next request."""
         if outcome.status is FinalStatus.ANSWERED:
@@ -122,9 +138,9 @@
         )
 
     def _on_outcome(self, client, request_id, outcome):
-        self.open_request_ids.discard(request_id)
         query = client.query
         client.query = None
+        self._close_id(request_id, query)
         try:
             self.finish(client, query, outcome)
         except Exception as error:
--- a/mothnotch/root/request_table.py
+++ b/mothnotch/root/request_table.py
@@ -66,6 +66,16 @@
     # Whether the balancer knows that the query has ended, so that it sends no new attempts.
     released: bool = False
 
+    @property
+    def may_still_run(self) -> bool:
+        """Return whether an attempt of it is in flight."""
+        return any(part.in_flight for part in self.parts)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether any attempt of it was sent that is not known to have never run."""
+        return any(part.sent_us_by_attempt for part in self.parts)
+
     def undecided_outcome(self) -> Outcome:
         """Return the final answer if the balancer decided none: rejected if nothing was sent."""
         ran = any(part.attempt_count for part in self.parts)
--- a/mothnotch/soak/bad_clients.py
+++ b/mothnotch/soak/bad_clients.py
@@ -30,6 +30,8 @@
 BATCH_REQUESTS = 20
 SLOW_WRITE_PAUSE_S = 0.02
 BLANKS = b" " * 16_000
+# Time after which clients leave that do not stay, though they have more to write.
+MAX_STAY_S = 0.2
 
 
 def head(name: str, *lines: str, class_name: str = "read", timeout_ms: int = 2500) -> bytes:
@@ -113,6 +115,11 @@
     yield large_requests()
 
 
+def some_requests(name: str) -> Iterator[bytes]:
+    """Yield some dozens of sound requests at once."""
+    yield b"".join(sound_request(f"{name}.{n}") for n in range(40))
+
+
 def many_small_requests(name: str) -> Iterator[bytes]:
     """Yield some megabytes of small sound requests at once."""
     yield b"".join(sound_request(f"{name}.{n}") for n in range(6 * MANY_REQUESTS))
@@ -171,7 +178,8 @@
     """What bad clients of a kind do.
 
     `pieces(name)` are written one after another, with `pause_s` between two; `reads`: whether they
-    read; `leaves`: whether they close the connection once all is written, else they stay.
+    read; `leaves`: whether they close the connection once all is written or MAX_STAY_S has passed,
+    else they stay.
     """
 
     pieces: Callable[[str], Iterator[bytes]]
@@ -193,6 +201,8 @@
     "many-requests-unread": Kind(many_requests, reads=False),
     "many-requests-and-leave": Kind(many_requests, leaves=True),
     "many-small-requests-and-leave": Kind(many_small_requests, reads=False, leaves=True),
+    "some-requests-and-leave": Kind(some_requests, leaves=True),
+    "one-request-and-leave": Kind(lambda name: iter([sound_request(f"{name}.0")]), leaves=True),
     "sound-stream": Kind(sound_stream),
     "sound-stream-unread": Kind(sound_stream, reads=False),
     "keyed-stream": Kind(keyed_stream),
@@ -211,6 +221,7 @@
     """A bad client's connection. `piece`: what is left of the piece that is being written."""
 
     number: int
+    name: str
     sock: socket.socket
     pieces: Iterator[bytes]
     piece: memoryview = field(default_factory=lambda: memoryview(b""))
@@ -231,7 +242,9 @@
         self.serials = itertools.count()
         self.turned_away = 0
         self.sent_bytes = 0
+        self.left_s = {}  # name of a client that left -> when, by the monotonic clock
         self.to_start = list(range(count))
+        self.leaving = []  # heap of (time of leaving, serial, connection)
         self.paused = []  # heap of (time of the next write, serial, connection)
 
     def run(self, until_s: float) -> None:
@@ -243,14 +256,18 @@
             for key, events in self.selector.select(SELECT_TIMEOUT_S):
                 self._handle(key.data, events)
             self._resume_paused()
+            self._leave_overdue()
 
     def _start(self, number):
         sock = socket.socket()
         sock.setblocking(False)
         sock.connect_ex(self.address)
         name = f"{self.prefix}{number}-{next(self.serials)}"
-        connection = Connection(number, sock, self.kind.pieces(name))
+        connection = Connection(number, name, sock, self.kind.pieces(name))
         self._set_events(connection, selectors.EVENT_WRITE, register=True)
+        if self.kind.leaves:
+            due_s = time.monotonic() + MAX_STAY_S
+            heapq.heappush(self.leaving, (due_s, next(self.serials), connection))
 
     def _set_events(self, connection, events, register=False):
         events |= selectors.EVENT_READ
@@ -293,7 +310,7 @@
             if piece is None:
                 connection.has_more = False
                 if self.kind.leaves:
-                    self._end(connection)
+                    self._leave(connection)
                 else:
                     self._set_events(connection, 0)
                 return
@@ -306,6 +323,16 @@
             due_s = time.monotonic() + self.kind.pause_s
             heapq.heappush(self.paused, (due_s, next(self.serials), connection))
 
+    def _leave(self, connection):
+        self._end(connection)
+        self.left_s[connection.name] = time.monotonic()
+
+    def _leave_overdue(self):
+        while self.leaving and self.leaving[0][0] <= time.monotonic():
+            connection = heapq.heappop(self.leaving)[2]
+            if not connection.is_closed:
+                self._leave(connection)
+
     def _end(self, connection):
         connection.is_closed = True
         self.turned_away += 1
@@ -316,12 +343,20 @@
 
 
 def main() -> None:
-    """Run, and print how often clients were turned away or left, and how much they sent."""
+    """Run, and print how often clients were turned away, how much they sent, and who left when."""
     kind, address, count, seconds = sys.argv[1:5]
     prefix = sys.argv[5] if len(sys.argv) > 5 else f"{kind}-"
     clients = BadClients(KINDS[kind], address, int(count), prefix)
     clients.run(time.monotonic() + float(seconds))
-    print(json.dumps({"turned_away": clients.turned_away, "sent_bytes": clients.sent_bytes}))
+    print(
+        json.dumps(
+            {
+                "turned_away": clients.turned_away,
+                "sent_bytes": clients.sent_bytes,
+                "left_s": clients.left_s,
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
