--- a/mothnotch/root/core.py
+++ b/mothnotch/root/core.py
@@ -127,7 +127,7 @@
         self.retry_budget.record_admitted(now_us(), len(request.parts))
         self._post_arrivals(query)
         if self.enforce_deadlines:
-            self.deadlines.add(request.deadline_us, query.number, query)
+            self.deadlines.add(request.deadline_us, query)
         return query
 
     def _post_arrivals(self, query):
@@ -176,8 +176,8 @@
 
     def shorten_deadline(self, query: Query, at_us: int):
         """End a query by `at_us` at the latest, because other requests wait for its answer."""
-        if query.outcome is None and at_us < query.request.deadline_us:
-            self.deadlines.add(at_us, self.request_table.next_number(), query)
+        if query.outcome is None and at_us < min(query.ends_by_us, query.request.deadline_us):
+            self.deadlines.add(at_us, query)
             self.dispatcher.wake()
 
     def shorten_deadlines(self, at_us: int) -> int:
--- a/mothnotch/root/deadlines.py
+++ b/mothnotch/root/deadlines.py
@@ -4,47 +4,38 @@
 client gets a final answer even if the balancer does not.
 """
 
-import heapq
-import math
-
+from mothnotch.net.deadline_heap import DeadlineHeap
 from mothnotch.root.clock import now_us
 from mothnotch.root.request_table import Query
 
 
 class DeadlineGuard:
-    """A heap of deadlines.
-
-    Bounds: one entry for each accepted query, and one for each time a deadline is shortened. An
-    entry of a closed query is removed when it becomes the first, at its deadline at the latest.
-    """
+    """The deadlines of queries: one for each, and one for each time that it was shortened."""
 
     def __init__(self, core):
         """Create a guard without entries."""
         self._core = core
-        # (deadline in microseconds, unique number, query)
-        self._heap = []
+        # Deadlines in microseconds.
+        self._heap = DeadlineHeap(lambda query: query.outcome is not None)
 
     def __len__(self) -> int:
         """Return the number of entries."""
         return len(self._heap)
 
-    def add(self, at_us: int, number: int, query: Query):
-        """End the query at `at_us` if it is still open then; the unique `number` breaks ties."""
-        heapq.heappush(self._heap, (at_us, number, query))
+    def add(self, at_us: int, query: Query):
+        """End the query at `at_us` if it is still open then."""
+        query.ends_by_us = at_us
+        self._heap.add(at_us, query)
 
     def next_us(self) -> float:
         """Return the first deadline of an open query; infinity if there is none."""
-        while self._heap and self._heap[0][2].outcome is not None:
-            heapq.heappop(self._heap)
-        return self._heap[0][0] if self._heap else math.inf
+        return self._heap.first_deadline()
 
     def end_overdue(self):
         """End each open query whose deadline has passed."""
         now = now_us()
-        while self._heap and (self._heap[0][0] <= now or self._heap[0][2].outcome is not None):
-            _, _, query = heapq.heappop(self._heap)
-            if query.outcome is None:
-                self.end(query)
+        while (query := self._heap.pop_due(now)) is not None:
+            self.end(query)
 
     def end(self, query: Query):
         """End an open query without a decision of the balancer."""
--- a/mothnotch/root/request_table.py
+++ b/mothnotch/root/request_table.py
@@ -1,6 +1,7 @@
 """The table of open queries and parts, and the limits on their numbers."""
 
 import itertools
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -61,6 +62,8 @@
     outcome: Outcome | None = None
     # The storage of its rows; None before the first row.
     storage: object = None
+    # The earliest time by which it was asked to end, in microseconds.
+    ends_by_us: float = math.inf
     # Whether its client's leaving cannot be seen, so that no attempt may begin any more.
     client_is_unseen: bool = False
     # Whether the balancer knows that the query has ended, so that it sends no new attempts.
--- a/mothnotch/soak/bad_clients.py
+++ b/mothnotch/soak/bad_clients.py
@@ -29,6 +29,7 @@
 # Requests that are built at once for a client that sends without pause.
 BATCH_REQUESTS = 20
 SLOW_WRITE_PAUSE_S = 0.02
+LONG_TIMEOUT_MS = 15_000
 BLANKS = b" " * 16_000
 # Time after which clients leave that do not stay, though they have more to write.
 MAX_STAY_S = 0.2
@@ -55,10 +56,13 @@
     return json.dumps({"ranges": ranges, "predicate": "c" * text_bytes}).encode()
 
 
-def sound_request(name: str, text_bytes: int = 8, class_name: str = "read") -> bytes:
+def sound_request(
+    name: str, text_bytes: int = 8, class_name: str = "read", timeout_ms: int = 2500
+) -> bytes:
     """Return a sound request for one shard."""
     body = sound_body(text_bytes)
-    return head(name, f"Content-Length: {len(body)}", class_name=class_name) + body
+    length = f"Content-Length: {len(body)}"
+    return head(name, length, class_name=class_name, timeout_ms=timeout_ms) + body
 
 
 def one_byte_at_a_time(name: str) -> Iterator[bytes]:
@@ -141,6 +145,29 @@
     return endless_batches(name, lambda each: sound_request(each, class_name="hold"))
 
 
+def patient_stream(name: str) -> Iterator[bytes]:
+    """Yield large sound requests whose timeouts are as long as they may be, without end."""
+    return endless_batches(
+        name, lambda each: sound_request(each, LARGE_BODY_BYTES, timeout_ms=LONG_TIMEOUT_MS)
+    )
+
+
+def patient_request(name: str) -> Iterator[bytes]:
+    """Yield one large sound request with a long timeout, and ask to be closed after its answer."""
+    yield close_after(sound_request(name, LARGE_BODY_BYTES, timeout_ms=LONG_TIMEOUT_MS))
+
+
+def patient_small_request(name: str) -> Iterator[bytes]:
+    """Yield one small keyed request with long names and a long timeout."""
+    long_name = name.ljust(128, "n")
+    yield close_after(sound_request(long_name, class_name="hold", timeout_ms=LONG_TIMEOUT_MS))
+
+
+def close_after(request: bytes) -> bytes:
+    """Return a request that asks to be closed after its answer."""
+    return request.replace(b"Host: a", b"Host: a\r\nConnection: close", 1)
+
+
 def ready_stream(name: str) -> Iterator[bytes]:
     """Yield the shortest requests that are answered at once, without end."""
     return endless_batches(name, lambda _: b"GET /-/ready HTTP/1.1\r\nHost:a\r\n\r\n")
@@ -206,6 +233,9 @@
     "sound-stream": Kind(sound_stream),
     "sound-stream-unread": Kind(sound_stream, reads=False),
     "keyed-stream": Kind(keyed_stream),
+    "patient-request": Kind(patient_request),
+    "patient-small-request": Kind(patient_small_request),
+    "patient-stream": Kind(patient_stream),
     "ready-stream": Kind(ready_stream),
     "ready-stream-unread": Kind(ready_stream, reads=False),
     "long-names": Kind(long_names),
