--- a/mothnotch/root/request_table.py
+++ b/mothnotch/root/request_table.py
@@ -102,7 +102,7 @@
         self._closed = []
 
     def next_number(self) -> int:
-        """Return a new unique number for a query or a deadline."""
+        """Return a new unique number for a query."""
         return next(self._numbers)
 
     @property
